Add the design, the package skeleton and the shared interfaces

Cause: several people build the parts at once and need one reference for modules, messages and state, and typed interfaces between the parts. Ruled out: a permit protocol in which every entry router must answer before a failed holder's grant can be reclaimed; one paused router would block it. A named witness per grant needs one answer. Before: empty repository. Conclusion: the parts can be written against the abstract base classes.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/hibiscuspass/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid language-model token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/hibiscuspass/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration program."""
--- /dev/null
+++ b/hibiscuspass/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to outside systems, one abstract base class each."""
--- /dev/null
+++ b/hibiscuspass/backends/vm_list.py
@@ -0,0 +1,60 @@
+"""The platform's lagging list of VMs."""
+
+import abc
+import enum
+
+import attrs
+
+from hibiscuspass.core import refusal
+
+
+class VmRole(enum.Enum):
+    """What runs on a VM."""
+
+    ROUTER = "router"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class VmState(enum.Enum):
+    """State of a VM as far as the platform knows."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Vm:
+    """One listed VM.
+
+    Attributes:
+      name: Name of the VM, unique; the name of its process or backend server.
+      address: `host:port` of the process or backend server.
+      failure_domain: Failure domain of the VM.
+      region: Region of the VM.
+      role: What runs there.
+      state: Live or leaving.
+      service: Name of the plain service for `VmRole.SERVICE`.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    region: str
+    role: VmRole
+    state: VmState
+    service: str = ""
+
+
+class VmList(abc.ABC):
+    """Reads the list of VMs."""
+
+    @abc.abstractmethod
+    async def fetch(
+        self, *, timeout_s: float
+    ) -> tuple[Vm, ...] | refusal.Refusal:
+        """Returns the VMs listed now."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes all connections."""
--- /dev/null
+++ b/hibiscuspass/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""The coordinator program: orders to engines."""
--- /dev/null
+++ b/hibiscuspass/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: concurrency, queues, deadlines, fairness."""
--- /dev/null
+++ b/hibiscuspass/core/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets: ledger, grants, permits, settlement and billing."""
--- /dev/null
+++ b/hibiscuspass/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Workspace configuration and its distribution."""
--- /dev/null
+++ b/hibiscuspass/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live and leaving routers and backend servers."""
--- /dev/null
+++ b/hibiscuspass/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Desired placement of models, adapters and roles."""
--- /dev/null
+++ b/hibiscuspass/core/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget, backoff and ejection of failing backends."""
--- /dev/null
+++ b/hibiscuspass/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server under lagging information."""
--- /dev/null
+++ b/hibiscuspass/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/hibiscuspass/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated links between the system's own processes."""
--- /dev/null
+++ b/hibiscuspass/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: caller API, dispatch and streams."""
--- /dev/null
+++ b/hibiscuspass/settings/__init__.py
@@ -0,0 +1,1 @@
+"""YAML settings, structured into checked attrs classes."""
--- /dev/null
+++ b/hibiscuspass/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the timeline buffer."""
--- /dev/null
+++ b/hibiscuspass/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The program that merges the events of all processes."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, with fault injection."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hibiscuspass."""
