--- /dev/null
+++ b/hibiscuspass/peers/pynng_link.py
@@ -0,0 +1,142 @@
+"""One pynng connection to a peer, with many requests in flight."""
+
+import asyncio
+import contextlib
+
+import pynng
+
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+
+# A negative resend time switches off the library's own repeats, which would
+# hide lost messages from the callers' timeouts.
+_NO_RESEND = -1
+_RECONNECT_MIN_MS = 100
+_RECONNECT_MAX_MS = 1000
+
+
+def _refuse(reason: reason_lib.Reason, detail: str) -> refusal.Refusal:
+    return refusal.Refusal(reason, detail)
+
+
+class Link:
+    """A socket that dials one address.
+
+    Attributes:
+      address: `host:port` of the peer.
+      last_used_s: Time of the last request on the caller's clock.
+      in_flight: Requests that wait for a reply.
+    """
+
+    def __init__(self, address: str, max_message_bytes: int) -> None:
+        self.address = address
+        self.last_used_s = 0.0
+        self.in_flight = 0
+        self._retired = False
+        self._closed = False
+        self._idle: list[pynng.Context] = []
+        self._contexts: set[pynng.Context] = set()
+        self._socket = pynng.Req0(
+            resend_time=_NO_RESEND,
+            recv_max_size=max_message_bytes,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+            async_backend="asyncio",
+        )
+        self._socket.tcp_nodelay = True
+
+    async def connect(self, timeout_s: float) -> refusal.Refusal | None:
+        """Dials the peer.
+
+        A plain connection is tried first, because the library does not report
+        a refused connection before a request times out.
+        """
+        host, _, port = self.address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.close()
+            self._socket.dial(f"tcp://{self.address}", block=False)
+        except (OSError, ValueError, pynng.NNGException) as exc:
+            return _refuse(
+                reason_lib.Reason.UNAVAILABLE,
+                f"peer {self.address}: {exc or 'connect timed out'}",
+            )
+        return None
+
+    async def exchange(
+        self, frame: bytes, timeout_s: float
+    ) -> bytes | refusal.Refusal:
+        """Sends a frame and returns the reply's frame."""
+        task = asyncio.current_task()
+        cancelling = task.cancelling() if task else 0
+        try:
+            context = self._take_context()
+        except pynng.NNGException as exc:
+            return _refuse(
+                reason_lib.Reason.UNAVAILABLE, f"peer {self.address}: {exc}"
+            )
+        self.in_flight += 1
+        reply: bytes | refusal.Refusal | None = None
+        try:
+            reply = await self._exchange(context, frame, timeout_s)
+        finally:
+            self.in_flight -= 1
+            self._put_context(context, reusable=isinstance(reply, bytes))
+            if self._retired and not self.in_flight:
+                self.close()
+        # pynng swallows a cancellation that arrives with the completion.
+        if task and task.cancelling() > cancelling:
+            raise asyncio.CancelledError
+        return reply
+
+    async def _exchange(
+        self, context: pynng.Context, frame: bytes, timeout_s: float
+    ) -> bytes | refusal.Refusal:
+        sent = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                await context.asend(frame)
+                sent = True
+                return await context.arecv()
+        except (TimeoutError, pynng.NNGException) as exc:
+            detail = f"peer {self.address}: {exc or 'no reply in time'}"
+            if sent:
+                return _refuse(reason_lib.Reason.TIMEOUT, detail)
+            return _refuse(reason_lib.Reason.UNAVAILABLE, detail)
+
+    def retire(self) -> None:
+        """Closes the link as soon as no request waits on it."""
+        self._retired = True
+        if not self.in_flight:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the socket; pending requests fail."""
+        if self._closed:
+            return
+        self._closed = True
+        for context in self._contexts:
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+        self._contexts.clear()
+        self._idle.clear()
+        self._socket.close()
+
+    def _take_context(self) -> pynng.Context:
+        if self._idle:
+            return self._idle.pop()
+        context = self._socket.new_context()
+        self._contexts.add(context)
+        return context
+
+    def _put_context(self, context: pynng.Context, *, reusable: bool) -> None:
+        if self._closed:
+            return
+        if reusable:
+            self._idle.append(context)
+            return
+        # A context whose request failed may still get the late reply.
+        self._contexts.discard(context)
+        with contextlib.suppress(pynng.NNGException):
+            context.close()
