--- /dev/null
+++ b/hibiscuspass/backends/http_client.py
@@ -0,0 +1,246 @@
+"""HTTP calls that report whether a byte was sent.
+
+Shared by the adapters. A connection carries one request at a time. After a
+timeout its connection is closed, and idle connections opened before are not
+used again, because they may have gone silent as well.
+"""
+
+import asyncio
+from collections.abc import Mapping
+import types
+
+import aiohttp
+import attrs
+
+_READ_CHUNK_BYTES = 65536
+DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
+
+@attrs.frozen
+class Failure:
+    """A call without a complete answer.
+
+    Attributes:
+      sent: Whether a byte of the request may have reached the server.
+      timed_out: Whether the time limit ended the call.
+      detail: What went wrong.
+    """
+
+    sent: bool
+    timed_out: bool
+    detail: str
+
+
+@attrs.frozen
+class Reply:
+    """A complete answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class _RepeatRefusedError(aiohttp.ClientError):
+    """Stops the client library from sending a request a second time."""
+
+
+@attrs.define
+class _Attempt:
+    sent: bool = False
+
+
+async def _on_headers(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    """Runs just before the first byte of a request is written.
+
+    aiohttp repeats PUT, DELETE and GET requests on a lost connection. A
+    service call must run at most once, so the second write is refused.
+    """
+    del session, params
+    attempt: _Attempt = context.trace_request_ctx
+    if attempt.sent:
+        raise _RepeatRefusedError("connection lost after the request was sent")
+    attempt.sent = True
+
+
+class _Pool:
+    """Connections opened between two timeouts."""
+
+    def __init__(self, connection_limit: int) -> None:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_on_headers)
+        self.in_use = 0
+        self.retired = False
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=connection_limit),
+            # Responses to one caller must not influence another's request.
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(),
+            trace_configs=[trace],
+            auto_decompress=False,
+        )
+
+    async def release(self) -> None:
+        self.in_use -= 1
+        await self.close_if_unused()
+
+    async def close_if_unused(self) -> None:
+        if self.retired and not self.in_use:
+            await self.session.close()
+
+
+class Exchange:
+    """A response whose body is being read.
+
+    Attributes:
+      response: Status and headers.
+    """
+
+    def __init__(
+        self,
+        client: "HttpClient",
+        pool: _Pool,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        self.response = response
+        self._client = client
+        self._pool = pool
+        self._released = False
+
+    def abort(self) -> None:
+        """Closes the connection at once, with unread and unsent bytes."""
+        connection = self.response.connection
+        if connection and connection.transport:
+            connection.transport.abort()
+        self.response.close()
+
+    async def release(self) -> None:
+        """Ends the exchange; a half-read connection is closed."""
+        if self._released:
+            return
+        self._released = True
+        if not self.response.content.at_eof():
+            self.abort()
+        self.response.release()
+        await self._pool.release()
+
+    async def read(self, max_bytes: int) -> bytes | Failure:
+        """Reads the whole body."""
+        body = bytearray()
+        try:
+            while chunk := await self.response.content.read(_READ_CHUNK_BYTES):
+                body += chunk
+                if len(body) > max_bytes:
+                    return Failure(
+                        sent=True,
+                        timed_out=False,
+                        detail=f"response larger than {max_bytes} bytes",
+                    )
+        except (aiohttp.ClientError, OSError) as exc:
+            return Failure(sent=True, timed_out=False, detail=_text(exc))
+        return bytes(body)
+
+
+class HttpClient:
+    """Calls one server."""
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        connection_limit: int = 0,
+        max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
+    ) -> None:
+        self.base_url = base_url.rstrip("/")
+        self._connection_limit = connection_limit
+        self._max_response_bytes = max_response_bytes
+        self._pool: _Pool | None = None
+
+    async def open(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Exchange | Failure:
+        """Sends a request and waits for the response headers."""
+        pool = self._pool
+        if pool is None:
+            pool = self._pool = _Pool(self._connection_limit)
+        pool.in_use += 1
+        attempt = _Attempt()
+        exchange: Exchange | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await pool.session.request(
+                    method,
+                    self.base_url + path,
+                    headers={"Accept-Encoding": "identity", **(headers or {})},
+                    data=body,
+                    allow_redirects=False,
+                    trace_request_ctx=attempt,
+                )
+            exchange = Exchange(self, pool, response)
+            return exchange
+        except TimeoutError:
+            if attempt.sent:
+                await self.retire()
+            return Failure(attempt.sent, True, "no answer in time")
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            return Failure(attempt.sent, False, _text(exc))
+        finally:
+            if exchange is None:
+                await pool.release()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Reply | Failure:
+        """Sends a request and reads the whole answer."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        exchange = await self.open(
+            method, path, timeout_s=timeout_s, headers=headers, body=body
+        )
+        if isinstance(exchange, Failure):
+            return exchange
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                content = await exchange.read(self._max_response_bytes)
+        except TimeoutError:
+            await self.retire()
+            return Failure(True, True, "incomplete answer in time")
+        finally:
+            await exchange.release()
+        if isinstance(content, Failure):
+            return content
+        response = exchange.response
+        return Reply(response.status, response.headers, content)
+
+    async def retire(self) -> None:
+        """Stops using the open connections for new requests."""
+        pool, self._pool = self._pool, None
+        if pool:
+            pool.retired = True
+            await pool.close_if_unused()
+
+    async def close(self) -> None:
+        """Closes the connections; later calls open new ones."""
+        pool, self._pool = self._pool, None
+        if pool:
+            pool.retired = True
+            await pool.session.close()
+
+
+def _text(exc: BaseException) -> str:
+    return str(exc) or type(exc).__name__
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the outside systems, with fault injection."""
+"""In-memory servers that speak the protocols of the external systems."""
