--- /dev/null
+++ b/benchmarks/test_engine_stream.py
@@ -0,0 +1,140 @@
+"""CPU cost of relaying one token event from an engine."""
+
+import asyncio
+import json
+import threading
+import time
+
+import pytest
+
+from hibiscuspass.backends import completion_events
+from hibiscuspass.backends import engine as engine_lib
+from hibiscuspass.backends import openai_engine
+
+_EVENTS = 500
+# Longer than the client needs per event, so that each one is read alone.
+_GAP_S = 0.0005
+_CHUNK = (
+    '{"id":"req-0123456789abcdef","object":"chat.completion.chunk",'
+    '"created":1700000000,"model":"model-a","choices":[{"index":0,'
+    '"delta":{"content":" token"},"logprobs":null,"finish_reason":null}]}'
+)
+_USAGE = (
+    '{"id":"req-0123456789abcdef","choices":[],"usage":{"prompt_tokens":9,'
+    f'"completion_tokens":{_EVENTS}}}}}'
+)
+_STREAM = [
+    f"id: {index}\ndata: {data}\n\n".encode()
+    for index, data in enumerate([_CHUNK] * _EVENTS + [_USAGE, "[DONE]"])
+]
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class _CannedServer(threading.Thread):
+    """Sends the same stream to every request, from its own thread."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.address = ""
+        self.ready = threading.Event()
+        self._loop = asyncio.new_event_loop()
+
+    def run(self) -> None:
+        self._loop.run_until_complete(self._listen())
+        self._loop.run_forever()
+
+    def stop(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self.join()
+
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        self.ready.set()
+
+    async def _serve(self, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(_HEAD)
+        for event in _STREAM:
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await asyncio.sleep(_GAP_S)
+        writer.write(b"0\r\n\r\n")
+        writer.close()
+
+
+@pytest.fixture
+def server():
+    thread = _CannedServer()
+    thread.start()
+    thread.ready.wait()
+    yield thread
+    thread.stop()
+
+
+def _decode_all() -> None:
+    events = completion_events.CompletionEvents(0)
+    for event in _STREAM:
+        events.feed(event)
+    assert events.tokens == _EVENTS
+
+
+def test_decode_of_a_stream(benchmark):
+    benchmark.extra_info["events"] = _EVENTS
+    benchmark(_decode_all)
+
+
+def test_decode_costs_no_more_than_twice_a_plain_json_parse():
+    def plain() -> None:
+        for event in _STREAM[:_EVENTS]:
+            json.loads(event.partition(b"data: ")[2])
+
+    def best(function) -> int:
+        times = []
+        for _ in range(20):
+            start_ns = time.thread_time_ns()
+            function()
+            times.append(time.thread_time_ns() - start_ns)
+        return min(times)
+
+    assert best(_decode_all) < 2 * best(plain)
+
+
+async def _relay(address: str, streams: int) -> float:
+    """Returns the CPU time of the client's thread per event in seconds."""
+    engine = openai_engine.make_openai_engine("e1", address)
+
+    async def relay_one() -> None:
+        req = engine_lib.EngineRequest("r1", "/v1/completions", {}, 0, _EVENTS)
+        tokens = 0
+        async for item in engine.complete(req, idle_timeout_s=30.0):
+            assert isinstance(item, engine_lib.TokenEvent)
+            tokens += item.tokens
+        assert tokens == _EVENTS
+
+    start_s = time.thread_time()
+    await asyncio.gather(*(relay_one() for _ in range(streams)))
+    used_s = time.thread_time() - start_s
+    await engine.close()
+    return used_s / streams / len(_STREAM)
+
+
+@pytest.mark.parametrize("streams", [1, 50])
+def test_relay_over_connections(benchmark, server, streams):
+    """CPU time of this thread only; the server's thread does not count.
+
+    With one stream each event wakes the event loop on its own; with 50, as on
+    a busy router, one wake-up serves several events.
+    """
+    used_s: list[float] = []
+
+    def round_trip() -> None:
+        used_s.append(asyncio.run(_relay(server.address, streams)))
+
+    benchmark.pedantic(round_trip, rounds=5, warmup_rounds=1)
+    per_event_us = 1e6 * min(used_s)
+    benchmark.extra_info["cpu_us_per_event"] = round(per_event_us, 2)
+    print(f"{streams} streams: {per_event_us:.1f} us of CPU per token event")
--- /dev/null
+++ b/standins/engine_batch.py
@@ -0,0 +1,187 @@
+"""Continuous batching of the engine stand-in."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import math
+from typing import Any
+
+import attrs
+
+from standins import engine_run
+from standins import prefix_cache
+
+_BYTES_PER_TOKEN = 4
+_DEFAULT_OUTPUT_TOKENS = 32
+
+
+@attrs.frozen
+class BatchSettings:
+    """Capacity and speed of an engine.
+
+    Attributes:
+      max_batch: Requests that generate at the same time.
+      max_queue: Requests that wait; more are refused.
+      token_interval_s: Time of one step, in which each request of the batch
+        generates one token.
+      prefill_tokens_per_step: Prompt tokens processed per step and request.
+      output_tokens: Tokens generated where the output limit allows it.
+      tokens_per_event: Tokens in one event.
+      cache_blocks: Capacity of the prefix cache.
+      retention_s: Time for which ended requests can be resumed.
+    """
+
+    max_batch: int = 16
+    max_queue: int = 64
+    token_interval_s: float = 0.005
+    prefill_tokens_per_step: int = 2048
+    output_tokens: int = _DEFAULT_OUTPUT_TOKENS
+    tokens_per_event: int = 1
+    cache_blocks: int = 4096
+    retention_s: float = 120.0
+
+
+class Batch:
+    """Queue, batch and retained runs.
+
+    Attributes:
+      starts: How often each request id was accepted, kept for ever.
+      extra_tokens: Tokens generated beyond the output limit, a fault.
+      on_token: Called after each generated event.
+    """
+
+    def __init__(
+        self, settings: BatchSettings, monotonic_s: Callable[[], float]
+    ) -> None:
+        self.settings = settings
+        self.cache = prefix_cache.PrefixCache(settings.cache_blocks)
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.history: dict[str, engine_run.Run] = {}
+        self.runs: dict[str, engine_run.Run] = {}
+        self.extra_tokens = 0
+        self.on_token: Callable[[engine_run.Run], None] = lambda run: None
+        self._monotonic_s = monotonic_s
+        self._waiting: list[tuple[int, int, engine_run.Run]] = []
+        self._running: list[engine_run.Run] = []
+        self._order = itertools.count()
+        self._wake = asyncio.Event()
+
+    @property
+    def waiting(self) -> list[engine_run.Run]:
+        """Requests in the queue."""
+        return [run for _, _, run in self._waiting if not run.ended]
+
+    @property
+    def running(self) -> list[engine_run.Run]:
+        """Requests in the batch."""
+        return self._running
+
+    @property
+    def queued_prompt_tokens(self) -> int:
+        """Prompt tokens not yet processed."""
+        return sum(r.prefill_left for r in (*self.waiting, *self._running))
+
+    @property
+    def full(self) -> bool:
+        """Whether a new request would be refused."""
+        return (
+            len(self._running) >= self.settings.max_batch
+            and len(self.waiting) >= self.settings.max_queue
+        )
+
+    def submit(
+        self,
+        request_id: str,
+        body: dict[str, Any],
+        *,
+        chat: bool,
+        priority: int,
+    ) -> engine_run.Run:
+        """Queues a request."""
+        prompt = prefix_cache.prompt_bytes(body)
+        hits = self.cache.use(prefix_cache.block_hashes(prompt))
+        prompt_tokens = max(1, math.ceil(len(prompt) / _BYTES_PER_TOKEN))
+        cached = hits * prefix_cache.BLOCK_BYTES // _BYTES_PER_TOKEN
+        wanted = self.settings.output_tokens
+        limit = int(body.get("max_tokens") or wanted)
+        run = engine_run.Run(
+            request_id=request_id,
+            chat=chat,
+            model=str(body.get("model", "")),
+            priority=priority,
+            prompt_tokens=prompt_tokens,
+            cached_tokens=cached,
+            prefill_left=max(0, prompt_tokens - cached),
+            output_limit=min(limit, wanted),
+        )
+        self.starts[request_id] += 1
+        self.runs[request_id] = self.history[request_id] = run
+        heapq.heappush(self._waiting, (-priority, next(self._order), run))
+        self._wake.set()
+        return run
+
+    def find(self, request_id: str) -> engine_run.Run | None:
+        """Returns a request that can be resumed."""
+        self._forget()
+        return self.runs.get(request_id)
+
+    def cancel(self, request_id: str) -> bool:
+        """Stops a request; False if it is unknown or has ended."""
+        run = self.runs.get(request_id)
+        if run is None or run.ended:
+            return False
+        run.end("cancelled", "cancelled", self._monotonic_s())
+        self._running = [r for r in self._running if r is not run]
+        return True
+
+    def lose_all(self) -> None:
+        """Forgets everything, as a crash does."""
+        for run in self.runs.values():
+            if not run.ended:
+                run.lose()
+        self.runs.clear()
+        self._waiting.clear()
+        self._running.clear()
+        self.cache.clear()
+
+    async def work(self, thawed: asyncio.Event) -> None:
+        """Generates until the task is cancelled."""
+        while True:
+            if not self._running and not self._waiting:
+                self._wake.clear()
+                await self._wake.wait()
+            await thawed.wait()
+            self._admit()
+            for run in tuple(self._running):
+                self._step(run)
+            await asyncio.sleep(self.settings.token_interval_s)
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.settings.max_batch:
+            run = heapq.heappop(self._waiting)[2]
+            if not run.ended:
+                run.start()
+                self._running.append(run)
+
+    def _step(self, run: engine_run.Run) -> None:
+        if run.prefill_left > 0:
+            run.prefill_left = max(
+                0, run.prefill_left - self.settings.prefill_tokens_per_step
+            )
+            return
+        limit = run.output_limit + self.extra_tokens
+        run.generate(min(self.settings.tokens_per_event, limit - run.generated))
+        self.on_token(run)
+        if run.generated >= limit and not run.ended:
+            reason = "length" if limit < self.settings.output_tokens else "stop"
+            run.end("finished", reason, self._monotonic_s())
+        if run.ended and run in self._running:
+            self._running.remove(run)
+
+    def _forget(self) -> None:
+        limit_s = self._monotonic_s() - self.settings.retention_s
+        for run in tuple(self.runs.values()):
+            if run.ended and run.finished_s <= limit_s:
+                del self.runs[run.request_id]
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,91 @@
+"""Prefix cache of the engine stand-in, with numbered events."""
+
+import collections
+from typing import Any
+
+import xxhash
+
+# Engines report blocks of this many prompt bytes, see docs/protocols.md.
+BLOCK_BYTES = 256
+_EVENTS_KEPT = 10_000
+
+
+def prompt_bytes(body: dict[str, Any]) -> bytes:
+    """Returns the prompt of a chat or text completion."""
+    if "messages" not in body:
+        return str(body.get("prompt", "")).encode()
+    parts = [
+        f"{m.get('role', '')}\n{m.get('content', '')}\n"
+        for m in body["messages"]
+    ]
+    return "".join(parts).encode()
+
+
+def block_hashes(prompt: bytes) -> list[int]:
+    """Returns the chained hashes of the whole blocks of a prompt."""
+    hashes: list[int] = []
+    for end in range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES):
+        hashes.append(
+            xxhash.xxh3_64_intdigest(
+                prompt[end - BLOCK_BYTES : end],
+                seed=hashes[-1] if hashes else 0,
+            )
+        )
+    return hashes
+
+
+class PrefixCache:
+    """Blocks in least-recently-used order, limited in number."""
+
+    def __init__(self, capacity_blocks: int) -> None:
+        self.events: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=_EVENTS_KEPT
+        )
+        self.sequence = 0
+        self._capacity = capacity_blocks
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    @property
+    def used_ratio(self) -> float:
+        """Share of the capacity in use."""
+        return len(self._blocks) / self._capacity if self._capacity else 0.0
+
+    def use(self, hashes: list[int]) -> int:
+        """Stores a prompt's blocks; returns how many led it and were cached."""
+        hits = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            hits += 1
+        stored = [b for b in hashes if b not in self._blocks]
+        for block in hashes:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        evicted = []
+        while len(self._blocks) > self._capacity:
+            evicted.append(self._blocks.popitem(last=False)[0])
+        if stored or evicted:
+            self._emit(stored, evicted)
+        return hits
+
+    def clear(self) -> None:
+        """Evicts everything."""
+        evicted = list(self._blocks)
+        self._blocks.clear()
+        if evicted:
+            self._emit([], evicted)
+
+    def _emit(self, stored: list[int], evicted: list[int]) -> None:
+        self.sequence += 1
+        self.events.append(
+            {
+                "sequence": self.sequence,
+                "stored": stored,
+                "evicted": evicted,
+            }
+        )
--- /dev/null
+++ b/tests/test_openai_engine.py
@@ -0,0 +1,494 @@
+"""Guards streams and refusals of engines against every engine fault."""
+
+import asyncio
+import itertools
+
+import msgspec
+import pytest
+
+from hibiscuspass.backends import engine as engine_lib
+from hibiscuspass.backends import openai_engine
+from hibiscuspass.backends import prompt_blocks
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from standins import engine as engine_stand_in
+from standins import engine_batch
+from standins import prefix_cache
+from tests import assertions
+
+_TIMEOUT_S = 10.0
+_SILENCE_S = 0.2
+_TOKENS = 8
+_SETTINGS = engine_batch.BatchSettings(
+    token_interval_s=0.0, output_tokens=_TOKENS, cache_blocks=8
+)
+
+
+@pytest.fixture
+async def server(started):
+    return await started(
+        engine_stand_in.EngineStandIn(settings=_SETTINGS, cache_keepalive_s=0.1)
+    )
+
+
+@pytest.fixture
+async def engine(started, server):
+    return await started(
+        openai_engine.OpenAiEngine(
+            "e1", f"http://{server.address}", cache_events_idle_s=_SILENCE_S
+        )
+    )
+
+
+def _request(request_id="r1", *, chat=True, **kwargs):
+    prompt = kwargs.pop("prompt", "hello")
+    body = {"model": kwargs.pop("model", "model-a")}
+    if chat:
+        body["messages"] = [{"role": "user", "content": prompt}]
+    else:
+        body["prompt"] = prompt
+    path = "/v1/chat/completions" if chat else "/v1/completions"
+    return engine_lib.EngineRequest(
+        request_id,
+        path,
+        {**body, **kwargs.pop("body", {})},
+        kwargs.pop("priority", 5),
+        kwargs.pop("output_limit", 100),
+    )
+
+
+async def _collect(stream):
+    async with asyncio.timeout(_TIMEOUT_S):
+        return [item async for item in stream]
+
+
+async def _run(engine, req=None, idle_timeout_s=_TIMEOUT_S):
+    return await _collect(
+        engine.complete(req or _request(), idle_timeout_s=idle_timeout_s)
+    )
+
+
+def _assert_complete(items, request_id="r1"):
+    assert all(isinstance(i, engine_lib.TokenEvent) for i in items), items[-1]
+    assert [i.finished for i in items] == [False] * (len(items) - 1) + [True]
+    assert [i.index for i in items] == list(range(len(items)))
+    assert items[-1].usage.output_tokens == sum(i.tokens for i in items)
+    for item in items:
+        assert msgspec.json.decode(item.data)["id"] == request_id
+
+
+def _assert_cut(items, reason, *, tokens_seen=True):
+    """A cut stream has no final event and one refusal at its end."""
+    refused = assertions.assert_refused(items[-1], reason)
+    events = items[:-1]
+    assert all(isinstance(i, engine_lib.TokenEvent) for i in events)
+    assert not any(i.finished or i.usage for i in events)
+    expected = run_state.RunState.UNKNOWN
+    if tokens_seen:
+        assert any(i.tokens for i in events)
+        expected = run_state.RunState.YES
+    assert refused.run is expected
+    return events
+
+
+@pytest.mark.parametrize("chat", [True, False])
+async def test_a_completion_streams_tokens_and_ends_with_usage(engine, chat):
+    items = await _run(engine, _request(chat=chat))
+    _assert_complete(items)
+    assert sum(i.tokens for i in items) == _TOKENS
+
+
+async def test_the_output_limit_overrides_the_callers_fields(engine, server):
+    items = await _run(
+        engine,
+        _request(
+            output_limit=3,
+            body={"max_tokens": 50, "max_completion_tokens": 50, "stream": 0},
+        ),
+    )
+    _assert_complete(items)
+    assert items[-1].usage.output_tokens == 3
+
+
+async def test_tokens_of_a_joined_event_are_all_counted(started):
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=engine_batch.BatchSettings(
+                token_interval_s=0.0, output_tokens=7, tokens_per_event=3
+            )
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    items = await _run(engine)
+    _assert_complete(items)
+    assert [i.tokens for i in items if i.tokens] == [3, 3, 1]
+
+
+async def test_an_engine_that_exceeds_the_limit_is_visible_in_the_count(
+    engine, server
+):
+    await server.inject(extra_tokens=5)
+    items = await _run(engine, _request(output_limit=3))
+    assert list(itertools.accumulate(i.tokens for i in items))[-1] == 8
+
+
+@pytest.mark.parametrize("offset", [0, 3, _TOKENS + 2, _TOKENS + 3])
+async def test_a_resume_continues_at_the_event_and_does_not_run_again(
+    engine, server, offset
+):
+    whole = await _run(engine)
+    rest = await _collect(
+        engine.resume("r1", offset, idle_timeout_s=_TIMEOUT_S)
+    )
+    if offset == len(whole):
+        # Only `[DONE]` was left.
+        assert [(i.finished, i.data) for i in rest] == [(True, b"")]
+    else:
+        assert rest == whole[offset:]
+    assert server.record()["runs"]["r1"]["starts"] == 1
+
+
+async def test_a_resume_after_retention_is_not_found(started):
+    now_s = 0.0
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=_SETTINGS, monotonic_s=lambda: now_s
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    await _run(engine)
+    now_s += _SETTINGS.retention_s
+    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    refused = assertions.assert_refused(items[0], reason_lib.Reason.NOT_FOUND)
+    assert refused.run is run_state.RunState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("fault", "reason", "tokens_seen"),
+    [
+        ({"truncate_after_events": 4}, "backend_lost", True),
+        ({"truncate_after_events": _TOKENS + 3}, "backend_lost", True),
+        ({"truncate_after_events": 0}, "backend_lost", False),
+        ({"die_after_tokens": 4}, "backend_lost", True),
+        ({"repeat_event": 3}, "backend_lost", True),
+        ({"skip_event": 3}, "backend_lost", True),
+        ({"wrong_request_id": True}, "backend_lost", False),
+        ({"lose_replies": 1}, "backend_lost", False),
+    ],
+    ids=str,
+)
+async def test_a_damaged_stream_ends_with_a_refusal_and_never_finishes(
+    engine, server, fault, reason, tokens_seen
+):
+    await server.inject(**fault)
+    items = await _run(engine)
+    _assert_cut(items, reason_lib.Reason(reason), tokens_seen=tokens_seen)
+    assert server.record()["runs"]["r1"]["starts"] == 1
+
+
+async def test_events_before_a_gap_are_relayed(engine, server):
+    await server.inject(skip_event=3)
+    events = _assert_cut(await _run(engine), reason_lib.Reason.BACKEND_LOST)
+    assert [i.index for i in events] == [0, 1, 2]
+
+
+@pytest.mark.parametrize(
+    "fault", [{"frozen": True}, {"silence_open_connections": True}], ids=str
+)
+async def test_silence_in_a_stream_ends_it_and_a_resume_completes_it(
+    engine, server, fault
+):
+    server.batch.on_token = lambda run: (
+        asyncio.ensure_future(server.inject(**fault))
+        if run.generated == 3
+        else None
+    )
+    items = await _run(engine, idle_timeout_s=_SILENCE_S)
+    events = _assert_cut(items, reason_lib.Reason.BACKEND_TIMEOUT)
+    await server.inject(frozen=False)
+    rest = await _collect(
+        engine.resume("r1", len(events), idle_timeout_s=_TIMEOUT_S)
+    )
+    _assert_complete([*events, *rest])
+    assert server.record()["runs"]["r1"]["starts"] == 1
+
+
+async def test_a_refused_connection_is_certainly_not_run(engine, server):
+    await server.inject(outage="refuse")
+    items = await _run(engine)
+    refused = assertions.assert_refused(
+        items[0], reason_lib.Reason.BACKEND_UNREACHABLE
+    )
+    assert refused.run is run_state.RunState.NO
+    assert len(items) == 1
+    assert not server.record()["runs"]
+
+
+async def test_a_resume_never_reports_that_the_request_did_not_run(
+    engine, server
+):
+    await _run(engine)
+    await engine.close()
+    await server.inject(outage="refuse")
+    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    refused = assertions.assert_refused(
+        items[0], reason_lib.Reason.BACKEND_UNREACHABLE
+    )
+    assert refused.run is run_state.RunState.UNKNOWN
+
+
+async def test_a_hanging_engine_leaves_the_outcome_unknown(engine, server):
+    await server.inject(outage="hang")
+    items = await _run(engine, idle_timeout_s=_SILENCE_S)
+    refused = assertions.assert_refused(
+        items[0], reason_lib.Reason.BACKEND_TIMEOUT
+    )
+    assert refused.run is run_state.RunState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("prepare", "req", "reason"),
+    [
+        ({"drain": True}, _request(), "backend_refused"),
+        ({}, _request(model="other"), "backend_refused"),
+        ({}, _request(""), "invalid_request"),
+    ],
+)
+async def test_a_proved_refusal_is_not_run(
+    engine, server, prepare, req, reason
+):
+    await server.inject(**prepare)
+    items = await _run(engine, req)
+    refused = assertions.assert_refused(items[0], reason_lib.Reason(reason))
+    assert refused.run is run_state.RunState.NO
+    assert not server.record()["runs"]
+    assert server.record()["refused"] == {req.request_id: 1}
+
+
+async def test_a_full_engine_refuses_and_suggests_a_delay(started):
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=engine_batch.BatchSettings(max_batch=0, max_queue=0)
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    refused = (await _run(engine))[0]
+    assert refused.run is run_state.RunState.NO
+    assert refused.retry_after_s == 1.0
+
+
+async def test_a_refusal_without_proof_leaves_the_outcome_unknown(
+    engine, server
+):
+    await _run(engine)
+    # The id is known to the engine, which therefore proves nothing.
+    items = await _run(engine)
+    refused = assertions.assert_refused(
+        items[0], reason_lib.Reason.BACKEND_LOST
+    )
+    assert refused.run is run_state.RunState.UNKNOWN
+    assert server.record()["runs"]["r1"]["starts"] == 1
+
+
+async def test_higher_priority_runs_first(started):
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=engine_batch.BatchSettings(
+                max_batch=1, token_interval_s=0.0, output_tokens=2
+            )
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    await server.inject(frozen=True)
+    order = []
+    server.batch.on_token = lambda run: order.append(run.priority)
+    for priority in (1, 9, 5):
+        server.batch.submit(
+            str(priority), {"prompt": "x"}, chat=False, priority=priority
+        )
+    await server.inject(frozen=False)
+    items = await _run(engine, _request(priority=0))
+    _assert_complete(items)
+    assert order[2:] == [9, 9, 5, 5, 1, 1, 0, 0][2:]
+
+
+async def test_one_request_per_connection_at_a_time(engine, server):
+    ids = [f"request-{i}" for i in range(20)]
+    streams = await asyncio.gather(*(_run(engine, _request(i)) for i in ids))
+    for request_id, items in zip(ids, streams, strict=True):
+        _assert_complete(items, request_id)
+
+
+async def test_a_finished_stream_leaves_its_connection_for_the_next(
+    engine, server
+):
+    for number in range(5):
+        _assert_complete(
+            await _run(engine, _request(f"r{number}")), f"r{number}"
+        )
+    assert len(server._protocols()) == 1
+
+
+async def test_an_abandoned_stream_closes_its_connection_and_keeps_running(
+    engine, server
+):
+    stream = engine.complete(_request(), idle_timeout_s=_TIMEOUT_S)
+    await anext(stream)
+    await stream.aclose()
+    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    _assert_complete(items)
+
+
+async def test_a_cancelled_request_ends_with_usage(engine, server):
+    server.batch.on_token = lambda run: (
+        server.batch.cancel("r1") if run.generated == 3 else None
+    )
+    items = await _run(engine)
+    _assert_complete(items)
+    assert items[-1].usage.output_tokens == 3
+    assert await engine.cancel("r1", timeout_s=_TIMEOUT_S) is None
+    assert await engine.cancel("never seen", timeout_s=_TIMEOUT_S) is None
+
+
+async def test_the_load_report_shows_models_and_draining(engine, server):
+    report = await engine.load(timeout_s=_TIMEOUT_S)
+    assert (report.engine, report.models) == ("e1", ("model-a",))
+    assert not report.draining
+    await server.inject(drain=True)
+    assert (await engine.load(timeout_s=_TIMEOUT_S)).draining
+
+
+async def test_a_late_load_report_carries_the_time_of_its_measurement(started):
+    now_s = 1000.0
+    server = await started(engine_stand_in.EngineStandIn(wall_s=lambda: now_s))
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    await engine.load(timeout_s=_TIMEOUT_S)
+    await server.inject(load_lag_s=30.0)
+    now_s = 1030.0
+    assert (await engine.load(timeout_s=_TIMEOUT_S)).at_s == 1000.0
+
+
+async def test_cache_events_show_stored_and_evicted_blocks_and_gaps(
+    engine, server
+):
+    text = "x" * (3 * prompt_blocks.BLOCK_BYTES)
+    hashes = prompt_blocks.block_hashes(text.encode())
+    assert len(hashes) == 3
+    events = engine.cache_events()
+    pending = asyncio.create_task(anext(events))
+    # The stream starts at the next event, so events go on until one arrives.
+    for number in itertools.count():
+        await _run(
+            engine, _request(f"r{number}", chat=False, prompt=f"{number}{text}")
+        )
+        done, _ = await asyncio.wait([pending], timeout=0.01)
+        if done:
+            break
+    first = pending.result()
+    assert first.stored
+    await server.inject(drop_cache_events=1)
+    last = server.batch.cache.sequence
+    for prompt in ("a" + text, text):
+        await _run(
+            engine, _request(f"last{prompt[0]}", chat=False, prompt=prompt)
+        )
+    async for event in events:
+        if event.sequence >= last + 2:
+            break
+    assert event.sequence == last + 2
+    assert event.stored == hashes
+    await events.aclose()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [{"silence_open_connections": True}, {"frozen": True}, {"die": True}],
+    ids=str,
+)
+async def test_a_lost_cache_event_stream_ends(engine, server, fault):
+    events = engine.cache_events()
+    pending = asyncio.create_task(anext(events, None))
+    # Keep-alive comments hold the healthy stream open.
+    done, _ = await asyncio.wait([pending], timeout=_SILENCE_S * 2)
+    assert not done
+    await server.inject(**fault)
+    assert await asyncio.wait_for(pending, _TIMEOUT_S) is None
+
+
+def test_the_stand_in_hashes_blocks_as_the_adapter_does():
+    body = {"messages": [{"role": "user", "content": "y" * 2000}]}
+    prompt = prompt_blocks.prompt_bytes(body)
+    assert prompt == prefix_cache.prompt_bytes(body)
+    assert list(prompt_blocks.block_hashes(prompt)) == (
+        prefix_cache.block_hashes(prompt)
+    )
+
+
+def _order(fence, generation, role="serve"):
+    return engine_lib.Order(
+        fence, generation, {"model-b": "2"}, ("adapter-a",), role
+    )
+
+
+async def test_an_order_is_carried_out_and_reported(engine):
+    assert await engine.send_order(_order(5, 1), timeout_s=_TIMEOUT_S) is None
+    state = await engine.state(timeout_s=_TIMEOUT_S)
+    assert state == engine_lib.EngineState(
+        5, 1, {"model-b": "2"}, ("adapter-a",), "serve"
+    )
+    report = await engine.load(timeout_s=_TIMEOUT_S)
+    assert (report.models, report.adapters) == (("model-b",), ("adapter-a",))
+
+
+@pytest.mark.parametrize("ignore", [False, True])
+async def test_an_outdated_order_is_refused_unless_tokens_are_ignored(
+    engine, server, ignore
+):
+    await server.inject(ignore_fence=ignore)
+    await engine.send_order(_order(5, 1), timeout_s=_TIMEOUT_S)
+    outcome = await engine.send_order(
+        _order(4, 9, "drain"), timeout_s=_TIMEOUT_S
+    )
+    state = await engine.state(timeout_s=_TIMEOUT_S)
+    if ignore:
+        assert outcome is None
+        assert state.fence == 4
+    else:
+        assertions.assert_refused(outcome, reason_lib.Reason.STALE)
+        assert state.fence == 5
+
+
+@pytest.mark.parametrize(
+    ("fault", "reason"),
+    [
+        ({"outage": "refuse"}, reason_lib.Reason.UNAVAILABLE),
+        ({"outage": "hang"}, reason_lib.Reason.TIMEOUT),
+        ({"lose_replies": 1}, reason_lib.Reason.TIMEOUT),
+        ({"lose_replies": 1, "lost_reply": "hang"}, reason_lib.Reason.TIMEOUT),
+    ],
+    ids=str,
+)
+async def test_short_calls_report_how_they_failed(
+    engine, server, fault, reason
+):
+    for call in (
+        lambda: engine.load(timeout_s=_SILENCE_S),
+        lambda: engine.state(timeout_s=_SILENCE_S),
+        lambda: engine.cancel("r1", timeout_s=_SILENCE_S),
+        lambda: engine.send_order(_order(1, 1), timeout_s=_SILENCE_S),
+    ):
+        await server.inject(**fault)
+        outcome = await call()
+        assert isinstance(outcome, refusal.Refusal)
+        assertions.assert_refused(outcome, reason)
