Add routing policies, admission control and retry rules

Cause: the request path needs a policy, an admission controller and a retry budget behind the shared interfaces, free of I/O and with time passed in. Ruled out: learning the admission wait from the rate of releases, because an idle period before a burst makes the rate look low and refuses requests that would have been served; the mean time from admission to release has no such fault. Taking a load report's time from its arrival, because a constant lag then can't be told from a fresh report. Before: no implementation. Conclusion: usable by the request path; policy settings aren't measured yet.

--- /dev/null
+++ b/hibiscuspass/core/routing/config.py
@@ -0,0 +1,60 @@
+"""Settings of the routing policies."""
+
+import attrs
+
+from hibiscuspass.core.retry import ejection as ejection_lib
+
+
+@attrs.frozen
+class RoutingConfig:
+    """How one router chooses engines.
+
+    Attributes:
+      policy: `scored`, or the baselines `round_robin`, `least_load` and
+        `prefix_affinity`.
+      failure_domain: Failure domain of this router.
+      seed: Seed of the random choices; differs between routers.
+      block_tokens: Prompt tokens per prefix block.
+      index_entries_per_engine: Bound of the prefix index.
+      index_entry_ttl_s: Age at which an unconfirmed index entry is dropped, in
+        seconds.
+      best_candidates: Number of best engines that two are drawn from.
+      candidate_slack_s: Candidates are at most this much slower than the best
+        engine, in seconds.
+      near_tie_s: Difference below which the own failure domain is preferred.
+      base_first_token_s: Time to the first token of an idle engine without
+        prompt work, in seconds.
+      prefill_rate: Prompt tokens per second assumed of a new engine.
+      running_cost_s: Part of the score per request in flight, in seconds.
+      max_in_flight_per_engine: Running and waiting requests of an engine, from
+        all routers, above which this router sends no more.
+      max_queue_s: Expected queue of an engine above which this router sends no
+        more, in seconds.
+      max_report_age_s: Age at which a load report carries no information.
+      silent_after_s: Time without any first token, beyond the expected one,
+        after which an engine is ejected, in seconds.
+      unix_minus_monotonic_s: Offset of the Unix time of load reports to the
+        monotonic time of the policy's calls.
+      ejection: When failing engines are ejected.
+    """
+
+    policy: str = "scored"
+    failure_domain: str = ""
+    seed: int = 0
+    block_tokens: int = 16
+    index_entries_per_engine: int = 50_000
+    index_entry_ttl_s: float = 120.0
+    best_candidates: int = 3
+    candidate_slack_s: float = 0.05
+    near_tie_s: float = 0.005
+    base_first_token_s: float = 0.02
+    prefill_rate: float = 20_000.0
+    running_cost_s: float = 0.001
+    max_in_flight_per_engine: int = 256
+    max_queue_s: float = 10.0
+    max_report_age_s: float = 15.0
+    silent_after_s: float = 2.0
+    unix_minus_monotonic_s: float = 0.0
+    ejection: ejection_lib.EjectionConfig = attrs.field(
+        factory=ejection_lib.EjectionConfig
+    )
--- /dev/null
+++ b/hibiscuspass/core/routing/factory.py
@@ -0,0 +1,33 @@
+"""Creates routing policies."""
+
+from collections.abc import Callable
+
+from hibiscuspass.core.routing import baselines
+from hibiscuspass.core.routing import config
+from hibiscuspass.core.routing import policy
+from hibiscuspass.core.routing import scored_policy
+
+_POLICIES: dict[str, Callable[[config.RoutingConfig], policy.RoutingPolicy]] = {
+    "scored": scored_policy.ScoredPolicy,
+    "round_robin": baselines.RoundRobin,
+    "least_load": baselines.LeastLoad,
+    "prefix_affinity": baselines.PrefixAffinity,
+}
+
+
+def make_routing_policy(
+    cfg: config.RoutingConfig | None = None,
+) -> policy.RoutingPolicy:
+    """Returns the policy that `cfg.policy` names.
+
+    Raises:
+      ValueError: `cfg.policy` is unknown.
+    """
+    cfg = cfg or config.RoutingConfig()
+    make = _POLICIES.get(cfg.policy)
+    if make is None:
+        raise ValueError(
+            f"routing policy {cfg.policy!r}: allowed are "
+            f"{', '.join(sorted(_POLICIES))}"
+        )
+    return make(cfg)
--- /dev/null
+++ b/hibiscuspass/core/routing/scored_policy.py
@@ -0,0 +1,213 @@
+"""Routing by expected time to the first token."""
+
+from collections.abc import Sequence
+import math
+import random
+
+import attrs
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.retry import ejection
+from hibiscuspass.core.routing import config
+from hibiscuspass.core.routing import engine_set
+from hibiscuspass.core.routing import policy
+from hibiscuspass.core.routing import prefix_index
+
+# Own requests in flight to an engine that returns from an ejection, at full
+# weight; the limit rises with the weight.
+_RETURNING_IN_FLIGHT = 10
+
+
+@attrs.frozen
+class _Candidate:
+    record: engine_set.EngineRecord
+    cached_tokens: int
+    expected_s: float
+    score_s: float
+
+    @property
+    def name(self) -> str:
+        return self.record.view.name
+
+
+class ScoredPolicy(policy.RoutingPolicy):
+    """The better of two random candidates among the best few.
+
+    The random draw keeps routers that see the same old reports from all
+    choosing the same engine.
+    """
+
+    def __init__(self, cfg: config.RoutingConfig) -> None:
+        self._cfg = cfg
+        self._rng = random.Random(cfg.seed)
+        self._engines = engine_set.EngineSet(
+            cfg.max_report_age_s, cfg.unix_minus_monotonic_s
+        )
+        self._index = prefix_index.PrefixIndex(
+            cfg.index_entries_per_engine, cfg.index_entry_ttl_s
+        )
+        self._ejection = ejection.EjectionTracker(cfg.ejection, self._rng)
+        self._sent_to: dict[str, str] = {}
+
+    def choose(
+        self, query: policy.RouteQuery, now_s: float
+    ) -> policy.Route | refusal.Refusal:
+        """See base class."""
+        records = self._engines.eligible(query)
+        if isinstance(records, refusal.Refusal):
+            return records
+        healthy = [r for r in records if self._is_healthy(r, now_s)]
+        if not healthy:
+            return refusal.Refusal(
+                reason_lib.Reason.NO_BACKEND,
+                f"all {len(records)} remaining engines with model "
+                f"{query.model!r} are ejected",
+                retry_after_s=1.0,
+            )
+        candidates = [
+            c
+            for c in (self._candidate(r, query, now_s) for r in healthy)
+            if self._has_room(c, now_s)
+        ]
+        if not candidates:
+            return refusal.Refusal(
+                reason_lib.Reason.OVERLOADED,
+                f"all {len(healthy)} engines with model {query.model!r} are "
+                "at their concurrency or queue limit",
+                retry_after_s=1.0,
+            )
+        fastest_s = min(c.expected_s for c in candidates)
+        if fastest_s > query.first_token_deadline_s:
+            return refusal.Refusal(
+                reason_lib.Reason.DEADLINE,
+                f"expected first token after {fastest_s:.2f} s; the deadline "
+                f"is {query.first_token_deadline_s:.2f} s",
+                retry_after_s=fastest_s,
+            )
+        chosen = self._draw(
+            [
+                c
+                for c in candidates
+                if c.expected_s <= query.first_token_deadline_s
+            ]
+        )
+        return policy.Route(
+            chosen.name, chosen.expected_s, chosen.cached_tokens
+        )
+
+    def on_dispatch(
+        self, query: policy.RouteQuery, route: policy.Route, now_s: float
+    ) -> None:
+        """See base class."""
+        record = self._engines.records.get(route.backend)
+        if record is None:
+            return
+        self._sent_to[query.request_id] = route.backend
+        work = max(0, query.prompt_tokens - route.cached_tokens)
+        record.load.on_dispatch(
+            query.request_id, work, route.expected_first_token_s, now_s
+        )
+        self._index.on_dispatch(route.backend, query.prompt_blocks, now_s)
+
+    def on_first_token(self, request_id: str, now_s: float) -> None:
+        """See base class."""
+        name = self._sent_to.get(request_id, "")
+        record = self._engines.records.get(name)
+        if record is not None:
+            record.load.on_first_token(request_id, now_s)
+            self._ejection.on_success(name, now_s)
+
+    def on_finish(self, request_id: str, succeeded: bool, now_s: float) -> None:
+        """See base class."""
+        name = self._sent_to.pop(request_id, "")
+        record = self._engines.records.get(name)
+        if record is None:
+            return
+        record.load.on_finish(request_id, now_s)
+        if succeeded:
+            self._ejection.on_success(name, now_s)
+        else:
+            self._ejection.on_failure(name, now_s)
+
+    def on_load_report(self, report: engine.LoadReport, now_s: float) -> None:
+        """See base class."""
+        self._engines.on_load_report(report, now_s)
+
+    def on_cache_event(self, event: engine.CacheEvent, now_s: float) -> None:
+        """See base class."""
+        self._index.on_event(event, now_s)
+
+    def on_backends(
+        self, backends: Sequence[policy.BackendView], now_s: float
+    ) -> None:
+        """See base class."""
+        self._engines.on_backends(backends)
+        self._index.retain(v.name for v in backends)
+        self._ejection.retain([v.name for v in backends])
+
+    def _is_healthy(
+        self, record: engine_set.EngineRecord, now_s: float
+    ) -> bool:
+        name = record.view.name
+        if record.load.stalled_s(now_s) > self._cfg.silent_after_s:
+            self._ejection.eject(name, now_s)
+        weight = self._ejection.weight(name, now_s)
+        if weight >= 1.0:
+            return True
+        limit = math.ceil(weight * _RETURNING_IN_FLIGHT)
+        return record.load.own_in_flight < limit
+
+    def _candidate(
+        self,
+        record: engine_set.EngineRecord,
+        query: policy.RouteQuery,
+        now_s: float,
+    ) -> _Candidate:
+        cfg = self._cfg
+        load = record.load
+        matched = self._index.matched_blocks(
+            record.view.name, query.prompt_blocks, now_s
+        )
+        cached = min(query.prompt_tokens, matched * cfg.block_tokens)
+        tokens = query.prompt_tokens - cached + load.queued_tokens(now_s)
+        expected_s = load.slowness(now_s) * (
+            cfg.base_first_token_s + tokens / cfg.prefill_rate
+        ) + load.stalled_s(now_s)
+        score_s = expected_s + cfg.running_cost_s * load.requests(now_s)
+        return _Candidate(record, cached, expected_s, score_s)
+
+    def _has_room(self, candidate: _Candidate, now_s: float) -> bool:
+        load = candidate.record.load
+        queue_s = (
+            load.slowness(now_s)
+            * load.queued_tokens(now_s)
+            / self._cfg.prefill_rate
+        )
+        return (
+            load.requests(now_s) < self._cfg.max_in_flight_per_engine
+            and queue_s < self._cfg.max_queue_s
+        )
+
+    def _draw(self, candidates: list[_Candidate]) -> _Candidate:
+        ranked = sorted(candidates, key=lambda c: c.score_s)
+        limit_s = ranked[0].score_s + self._cfg.candidate_slack_s
+        best = [
+            c
+            for c in ranked[: self._cfg.best_candidates]
+            if c.score_s <= limit_s
+        ]
+        pair = self._rng.sample(best, min(2, len(best)))
+        first = min(pair, key=lambda c: c.score_s)
+        for other in pair:
+            if other is first or self._is_local(first):
+                continue
+            near = other.score_s - first.score_s < self._cfg.near_tie_s
+            if near and self._is_local(other):
+                return other
+        return first
+
+    def _is_local(self, candidate: _Candidate) -> bool:
+        domain = candidate.record.view.failure_domain
+        return domain == self._cfg.failure_domain
