Add settings, secrets, logs and probes

Cause: every program needs checked settings before it can start.

Ruled out: cattrs' own forbid_extra_keys and attrs' validators inside the constructor stop at the first fault of a class and drop the bad value. The hooks here structure and validate field by field, so one run lists every problem with file, field path, bad value and allowed values. A slow password hash for access keys: the keys have 256 random bits, so it adds cost only.

Before: no settings.

Conclusion: other programs can load their files with settings.loader.load or settings.program.run_program. An access key is hp.<workspace>.<id>.<secret>, so a router finds the workspace without an index of all keys.

--- /dev/null
+++ b/hibiscuspass/settings/program.py
@@ -0,0 +1,76 @@
+"""Command line of the servers: `--help`, `--version` and `--check`."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from importlib import metadata
+import sys
+from typing import Any
+from typing import TypeVar
+
+import defopt
+
+from hibiscuspass.settings import loader
+
+T = TypeVar("T")
+
+EXIT_OK = 0
+EXIT_FAILURE = 1
+EXIT_BAD_SETTINGS = 2
+
+
+def version() -> str:
+    """Returns the installed version."""
+    try:
+        return metadata.version("hibiscuspass")
+    except metadata.PackageNotFoundError:
+        return "unknown (not installed)"
+
+
+def run_program(
+    name: str,
+    cls: type[T],
+    start: Callable[[T], Awaitable[int]],
+    runner: Callable[[Any], int],
+    argv: Sequence[str] | None = None,
+) -> int:
+    """Parses the command line, loads the settings and runs the program.
+
+    Args:
+      name: Name of the program, shown by `--version`.
+      cls: attrs class of the settings file.
+      start: Coroutine function that runs the program to its end.
+      runner: Runs the coroutine, usually `asyncio.run`.
+      argv: Arguments without the program name; None for the process's own.
+
+    Returns:
+      The exit code; 2 if the settings are wrong.
+    """
+
+    def command(settings: str, *, check: bool = False) -> int:
+        """Runs the program.
+
+        Args:
+          settings: YAML file with the settings.
+          check: Validate the settings file and exit.
+        """
+        loaded = loader.load(settings, cls)
+        if isinstance(loaded, loader.SettingsError):
+            print(loaded, file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        if check:
+            print(f"{settings}: valid")
+            return EXIT_OK
+        return runner(start(loaded))
+
+    command.__name__ = name
+    command.__doc__ = (command.__doc__ or "").replace("the program", name, 1)
+    prog_args: dict[str, Any] = {"prog": name}
+    outcome: int = defopt.run(
+        command,
+        argv=argv,
+        version=f"{name} {version()}",
+        cli_options="has_default",
+        argparse_kwargs=prog_args,
+    )
+    return outcome
--- /dev/null
+++ b/hibiscuspass/settings/secrets.py
@@ -0,0 +1,138 @@
+"""Fleet key, access keys and operator tokens.
+
+Access keys and tokens have 256 random bits, so a single salted SHA-256 resists
+guessing; a slow password hash would cost each request and add nothing.
+"""
+
+import hashlib
+import hmac
+import pathlib
+import secrets
+
+import attrs
+
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.settings import admin
+
+_FLEET_KEY_BYTES = 32
+_SALT_BYTES = 16
+_SECRET_BYTES = 32
+_KEY_ID_BYTES = 6
+
+ACCESS_KEY_PREFIX = "hp"
+OPERATOR_TOKEN_PREFIX = "hpo"
+
+
+@attrs.frozen
+class PresentedKey:
+    """An access key as a caller presents it.
+
+    Attributes:
+      key_id: Public part, `<workspace>.<random>`.
+      secret: Secret part.
+    """
+
+    key_id: str
+    secret: str = attrs.field(repr=False)
+
+
+def make_fleet_key() -> str:
+    """Returns a new fleet key in the form of its file."""
+    return secrets.token_hex(_FLEET_KEY_BYTES)
+
+
+def read_fleet_key(path: str | pathlib.Path) -> bytes:
+    """Reads the fleet key, 32 bytes or more in hexadecimal digits.
+
+    Raises:
+      OSError: The file can't be read.
+      ValueError: The key is too short or not hexadecimal.
+    """
+    text = pathlib.Path(path).read_text(encoding="ascii").strip()
+    try:
+        key = bytes.fromhex(text)
+    except ValueError:
+        # The original error would quote a part of the key.
+        raise ValueError(f"{path}: expected hexadecimal digits") from None
+    if len(key) < _FLEET_KEY_BYTES:
+        raise ValueError(
+            f"{path}: the key has {len(key)} bytes; allowed: at least"
+            f" {_FLEET_KEY_BYTES}"
+        )
+    return key
+
+
+def _digest(salt: str, secret: str) -> str:
+    return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
+
+
+def _matches(salt: str, digest: str, secret: str) -> bool:
+    return hmac.compare_digest(_digest(salt, secret).encode(), digest.encode())
+
+
+def make_access_key(workspace: str) -> tuple[str, workspace_lib.AccessKey]:
+    """Creates an access key.
+
+    The key id contains the workspace's name, so a router finds the workspace
+    without an index of all keys.
+
+    Returns:
+      The key as the caller presents it, and its stored form.
+    """
+    key_id = f"{workspace}.{secrets.token_hex(_KEY_ID_BYTES)}"
+    secret = secrets.token_urlsafe(_SECRET_BYTES)
+    salt = secrets.token_hex(_SALT_BYTES)
+    stored = workspace_lib.AccessKey(key_id, salt, _digest(salt, secret))
+    return f"{ACCESS_KEY_PREFIX}.{key_id}.{secret}", stored
+
+
+def parse_access_key(text: str) -> PresentedKey | None:
+    """Splits a presented access key; None if it has another form."""
+    parts = text.split(".")
+    if len(parts) != 4 or parts[0] != ACCESS_KEY_PREFIX or not all(parts):
+        return None
+    return PresentedKey(f"{parts[1]}.{parts[2]}", parts[3])
+
+
+def workspace_of_key_id(key_id: str) -> str:
+    """Returns the workspace that an access key id names."""
+    return key_id.partition(".")[0]
+
+
+# Compared when a key id is unknown, so that the time of the answer does not
+# show which key ids exist.
+_NO_KEY = workspace_lib.AccessKey("", "00" * _SALT_BYTES, "00" * 32)
+
+
+def is_valid_access_key(
+    ws: workspace_lib.Workspace | None, presented: PresentedKey
+) -> bool:
+    """Checks a presented key against a workspace in constant time."""
+    keys = () if ws is None else ws.access_keys
+    stored = next((k for k in keys if k.key_id == presented.key_id), _NO_KEY)
+    matches = _matches(stored.salt, stored.digest, presented.secret)
+    return matches and stored is not _NO_KEY
+
+
+def make_operator_token(name: str) -> tuple[str, admin.OperatorToken]:
+    """Creates an operator token; returns it and its stored form."""
+    token = f"{OPERATOR_TOKEN_PREFIX}.{secrets.token_urlsafe(_SECRET_BYTES)}"
+    salt = secrets.token_hex(_SALT_BYTES)
+    return token, admin.OperatorToken(name, salt, _digest(salt, token))
+
+
+def find_operator(
+    operators: tuple[admin.OperatorToken, ...], token: str
+) -> str | None:
+    """Returns the operator that a token belongs to; compares with all."""
+    found = [op.name for op in operators if _matches(op.salt, op.digest, token)]
+    return found[0] if found else None
+
+
+def read_token_file(path: str | pathlib.Path) -> str:
+    """Reads an operator token.
+
+    Raises:
+      OSError: The file can't be read.
+    """
+    return pathlib.Path(path).read_text(encoding="ascii").strip()
--- /dev/null
+++ b/hibiscuspass/settings/weight_store.py
@@ -0,0 +1,22 @@
+"""The platform's weight store."""
+
+import attrs
+
+from hibiscuspass.settings import checks
+
+
+@attrs.frozen
+class WeightStoreSettings:
+    """How the weight store is reached.
+
+    Attributes:
+      address: Base address.
+      adapter: Protocol adapter.
+      timeout_s: Time limit of one call in seconds.
+    """
+
+    address: str = attrs.field(validator=checks.is_url())
+    adapter: str = attrs.field(default="http", validator=checks.one_of("http"))
+    timeout_s: float = attrs.field(
+        default=2.0, validator=checks.in_range(0.01, 60)
+    )
--- /dev/null
+++ b/tests/test_loader.py
@@ -0,0 +1,134 @@
+"""Guards against settings that are accepted wrong or rejected unclearly."""
+
+import pytest
+import yaml
+
+from hibiscuspass.settings import admin
+from hibiscuspass.settings import coordinator
+from hibiscuspass.settings import ctl
+from hibiscuspass.settings import loader
+from hibiscuspass.settings import router
+from hibiscuspass.settings import timeline
+
+_ROUTER = {
+    "process": {
+        "name": "router-a",
+        "address": "127.0.0.1",
+        "failure_domain": "domain-a",
+        "region": "north",
+    },
+    "listen": {"host": "127.0.0.1", "port": 8080},
+    "peer_link": {"address": "127.0.0.1:9001", "fleet_key_file": "key"},
+    "key_value": {"address": "http://127.0.0.1:2379"},
+    "vm_list": {"address": "http://127.0.0.1:7000"},
+}
+
+
+@pytest.fixture
+def load(tmp_path):
+    def _load(data, cls=router.RouterSettings):
+        path = tmp_path / "settings.yaml"
+        text = data if isinstance(data, str) else yaml.safe_dump(data)
+        path.write_text(text, encoding="utf-8")
+        return loader.load(path, cls)
+
+    return _load
+
+
+def _changed(path, value):
+    """Returns valid settings with one field replaced."""
+    data = yaml.safe_load(yaml.safe_dump(_ROUTER))
+    *parents, last = path.split(".")
+    block = data
+    for name in parents:
+        block = block.setdefault(name, {})
+    block[last] = value
+    return data
+
+
+def test_defaults_fill_optional_blocks(load):
+    loaded = load(_ROUTER)
+    assert isinstance(loaded, router.RouterSettings), str(loaded)
+    assert loaded.logging.format == "json"
+    assert loaded.listen.tls is None
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "allowed"),
+    [
+        ("listen.port", 99999, "1 to 65535"),
+        ("listen.port", True, "a whole number"),
+        ("listen.port", "80", "a whole number"),
+        ("listen.tls", {"certificate": "a"}, "required"),
+        ("process.name", "A b", "a-z"),
+        ("peer_link.address", "nowhere", "host:port"),
+        ("key_value.address", "127.0.0.1:2379", "http://"),
+        ("logging.level", "loud", "debug, info, warning, error"),
+        ("logging.colour", "red", "one of the fields level, format"),
+        ("models", {"name": "m"}, "a list"),
+        ("models", [{"name": "m", "prompt_price": -1}], "0 to"),
+        ("models", [{"name": "m"}, {"name": "m"}], "at most once"),
+        ("retry", {"backoff_min_s": 5, "backoff_max_s": 1}, "at least"),
+        ("shutdown_grace_s", float("nan"), "0.1 to 3600"),
+    ],
+)
+def test_a_bad_value_is_named_with_file_field_and_allowed_values(
+    load, path, value, allowed
+):
+    error = load(_changed(path, value))
+    assert isinstance(error, loader.SettingsError)
+    assert path in str(error)
+    assert "settings.yaml" in str(error)
+    assert allowed in str(error)
+
+
+def test_all_problems_of_a_file_are_reported_at_once(load):
+    data = _changed("listen.port", 0)
+    data["surplus"] = 1
+    data["models"] = [{"name": ""}, {"prompt_price": "x"}]
+    del data["vm_list"]
+    error = load(data)
+    assert isinstance(error, loader.SettingsError)
+    assert {p.field for p in error.problems} == {
+        "listen.port",
+        "surplus",
+        "vm_list",
+        "models[0].name",
+        "models[1].name",
+        "models[1].prompt_price",
+    }
+
+
+@pytest.mark.parametrize(
+    ("text", "allowed"),
+    [
+        ("a: [", "a YAML document"),
+        ("- 1", "a mapping"),
+        ("!!python/object/apply:os.getpid []", "a YAML document"),
+    ],
+)
+def test_a_broken_document_is_an_error_value(load, text, allowed):
+    error = load(text)
+    assert isinstance(error, loader.SettingsError)
+    assert allowed in str(error)
+
+
+def test_a_missing_file_is_an_error_value(tmp_path):
+    error = loader.load(tmp_path / "absent.yaml", ctl.CtlSettings)
+    assert isinstance(error, loader.SettingsError)
+    assert "readable" in str(error)
+
+
+@pytest.mark.parametrize(
+    "cls",
+    [
+        admin.AdminSettings,
+        coordinator.CoordinatorSettings,
+        ctl.CtlSettings,
+        timeline.TimelineSettings,
+    ],
+)
+def test_an_empty_file_names_each_required_field(load, cls):
+    error = load("", cls)
+    assert isinstance(error, loader.SettingsError)
+    assert all("required" in p.allowed for p in error.problems)
