Distribute configuration to routers

Cause: a change that an operator has seen accepted must be in force on every running router and never revert, also with lost watches, late replies, an outage of the key-value service and routers that start during it.

Ruled out: loading all workspaces (710,000 at target size; a router has 128 MB) in favour of loading on demand with a bounded table that remembers dropped revisions as floors. An index of access keys: the key id names its workspace. Polling every loaded workspace in each round: 390 routers share 2,000 reads/s, so one poll reads one workspace, and a poll that finds a change which the watch missed opens the watch again. Trusting any answer under a known name as proof that an older incarnation ended: only answers to questions sent after the older one was known prove it.

Before: no distribution.

Conclusion: ConfigTable, Acceptance and templates are free of I/O; the runtime merges watch, polls and announcements into one table. Callers await load() before they use the synchronous ConfigSource methods.

--- /dev/null
+++ b/hibiscuspass/core/configuration/entry.py
@@ -0,0 +1,19 @@
+"""One configuration value at one revision."""
+
+import attrs
+
+
+@attrs.frozen
+class ConfigEntry:
+    """What a source says about one workspace.
+
+    Attributes:
+      name: Name of the workspace.
+      raw: Stored form of its record; None if there is no such workspace.
+      revision: Revision of the last change. For a workspace that a read did
+        not find, the store revision at which it was absent.
+    """
+
+    name: str
+    raw: bytes | None
+    revision: int
--- /dev/null
+++ b/hibiscuspass/core/configuration/template.py
@@ -0,0 +1,224 @@
+"""Templates that produce the configuration of a workspace."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import json
+import re
+from typing import Any
+
+import attrs
+
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.settings import checks
+from hibiscuspass.settings import structure
+
+_REFERENCE = re.compile(r"\$\{([a-z][a-z0-9_]*)\}")
+
+_KINDS: dict[str, tuple[type, ...]] = {
+    "integer": (int,),
+    "number": (int, float),
+    "text": (str,),
+    "boolean": (bool,),
+    "list": (list, tuple),
+}
+
+
+@attrs.frozen
+class Parameter:
+    """A value that an operator chooses when applying a template.
+
+    Attributes:
+      name: Name used as `${name}` in the template's workspace.
+      kind: `integer`, `number`, `text`, `boolean` or `list` (of texts).
+      description: What it is for.
+      required: Whether there is no default.
+      default: Value if the operator gives none.
+      minimum: Least number.
+      maximum: Greatest number.
+      choices: Allowed texts, or allowed items of a list; empty for any.
+    """
+
+    name: str = attrs.field(
+        validator=checks.matches("[a-z][a-z0-9_]*", "a-z, 0-9 and _")
+    )
+    kind: str = attrs.field(validator=checks.one_of(*_KINDS))
+    description: str = ""
+    required: bool = False
+    default: Any = None
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Template:
+    """A workspace with parameters.
+
+    Attributes:
+      name: Unique name.
+      description: When to use it.
+      parameters: What operators choose.
+      workspace: Fields of `Workspace` but `name`, `template` and
+        `access_keys`; a text `${parameter}` stands for the parameter's value.
+    """
+
+    name: str = attrs.field(validator=checks.is_name())
+    description: str = ""
+    parameters: tuple[Parameter, ...] = attrs.field(
+        default=(), validator=checks.unique_names()
+    )
+    workspace: dict[str, Any] = attrs.field(factory=dict)
+
+
+def encode(template: Template) -> bytes:
+    """Returns the stored form."""
+    return json.dumps(structure.unstructure(template), sort_keys=True).encode()
+
+
+def decode(raw: bytes) -> Template | tuple[structure.Problem, ...]:
+    """Parses the stored form; returns all problems if it is not valid."""
+    try:
+        data = json.loads(raw)
+    except ValueError as exc:
+        return (structure.Problem("", str(exc), "a JSON object"),)
+    return structure.structure(data, Template)
+
+
+def _range_of(param: Parameter) -> str:
+    low = "any" if param.minimum is None else f"{param.minimum:g}"
+    high = "any" if param.maximum is None else f"{param.maximum:g}"
+    return f"{low} to {high}"
+
+
+def _allowed(param: Parameter, value: Any) -> str | None:
+    """Returns what is allowed instead of a value; None if it is allowed."""
+    stray_bool = isinstance(value, bool) and param.kind != "boolean"
+    of_kind: bool = isinstance(value, _KINDS[param.kind])
+    if stray_bool or not of_kind:
+        return f"a value of kind {param.kind}"
+    if param.kind in ("integer", "number"):
+        low = -float("inf") if param.minimum is None else param.minimum
+        high = float("inf") if param.maximum is None else param.maximum
+        return None if low <= value <= high else _range_of(param)
+    items = value if param.kind == "list" else [value]
+    if param.kind == "list" and not all(isinstance(i, str) for i in items):
+        return "a list of texts"
+    if param.choices and not set(items) <= set(param.choices):
+        return ", ".join(param.choices)
+    return None
+
+
+def _bind(
+    template: Template, given: Mapping[str, Any]
+) -> tuple[dict[str, Any], list[structure.Problem]]:
+    known = {p.name: p for p in template.parameters}
+    names = ", ".join(known) or "none; the template has no parameters"
+    problems = [
+        structure.Problem(f"parameters.{n}", v, f"one of {names}")
+        for n, v in given.items()
+        if n not in known
+    ]
+    values: dict[str, Any] = {}
+    for name, param in known.items():
+        if name not in given and param.required:
+            problems.append(
+                structure.Problem(
+                    f"parameters.{name}", None, "a value; it is required"
+                )
+            )
+            continue
+        values[name] = given.get(name, param.default)
+        allowed = _allowed(param, values[name])
+        if allowed is not None:
+            problems.append(
+                structure.Problem(f"parameters.{name}", values[name], allowed)
+            )
+    return values, problems
+
+
+def _substitute(node: Any, values: Mapping[str, Any], path: str) -> Any:
+    if isinstance(node, Mapping):
+        return {
+            k: _substitute(v, values, f"{path}.{k}") for k, v in node.items()
+        }
+    if isinstance(node, Sequence) and not isinstance(node, str):
+        return [
+            _substitute(v, values, f"{path}[{i}]") for i, v in enumerate(node)
+        ]
+    reference = _REFERENCE.fullmatch(node) if isinstance(node, str) else None
+    if reference is None:
+        return node
+    if reference[1] not in values:
+        raise structure.ProblemsError(
+            [
+                structure.Problem(
+                    path, node, f"one of {', '.join(values) or 'no parameters'}"
+                )
+            ]
+        )
+    return values[reference[1]]
+
+
+def expand(
+    template: Template, workspace: str, given: Mapping[str, Any]
+) -> workspace_lib.Workspace | tuple[structure.Problem, ...]:
+    """Produces a workspace's configuration.
+
+    Args:
+      template: Template to apply.
+      workspace: Name of the workspace.
+      given: Parameter values that the operator chose.
+
+    Returns:
+      The checked configuration without access keys, or all problems.
+    """
+    values, problems = _bind(template, given)
+    if problems:
+        return tuple(problems)
+    reserved = {"name", "template", "access_keys"} & set(template.workspace)
+    if reserved:
+        return tuple(
+            structure.Problem(
+                f"workspace.{n}",
+                template.workspace[n],
+                "absence; it is set when the template is applied",
+            )
+            for n in sorted(reserved)
+        )
+    try:
+        fields = _substitute(template.workspace, values, "workspace")
+    except structure.ProblemsError as exc:
+        return tuple(exc.problems)
+    return structure.structure(
+        {**fields, "name": workspace, "template": template.name},
+        workspace_lib.Workspace,
+    )
+
+
+def check_names(
+    ws: workspace_lib.Workspace,
+    models: Sequence[str],
+    services: Sequence[str],
+) -> tuple[structure.Problem, ...]:
+    """Checks that a workspace names existing models and services."""
+    service_names = ", ".join(services) or "none"
+    problems = [
+        structure.Problem(f"models[{i}]", m, ", ".join(models) or "none")
+        for i, m in enumerate(ws.models)
+        if m not in models
+    ]
+    problems += [
+        structure.Problem(f"services[{i}]", s, service_names)
+        for i, s in enumerate(ws.services)
+        if s not in services
+    ]
+    problems += [
+        structure.Problem(
+            f"non_repeatable[{i}].service",
+            r.service,
+            ", ".join(ws.services) or "none",
+        )
+        for i, r in enumerate(ws.non_repeatable)
+        if r.service not in ws.services
+    ]
+    return tuple(problems)
--- a/hibiscuspass/core/configuration/workspace.py
+++ b/hibiscuspass/core/configuration/workspace.py
@@ -2,6 +2,13 @@
 
 import attrs
 
+from hibiscuspass.settings import checks
+
+# JSON readers that use doubles keep integers exactly up to 2**53.
+MAX_AMOUNT = 2**53
+
+_METHODS = ("*", "DELETE", "GET", "PATCH", "POST", "PUT")
+
 
 @attrs.frozen
 class NonRepeatableRule:
@@ -13,9 +20,9 @@
       path_prefix: Path below the service's base address, starting with `/`.
     """
 
-    service: str
-    method: str
-    path_prefix: str
+    service: str = attrs.field(validator=checks.is_name())
+    method: str = attrs.field(validator=checks.one_of(*_METHODS))
+    path_prefix: str = attrs.field(validator=checks.starts_with("/"))
 
 
 @attrs.frozen
@@ -56,18 +63,30 @@
       enabled: Whether requests are accepted.
     """
 
-    name: str
+    name: str = attrs.field(validator=checks.is_name())
     template: str = ""
-    priority: int = 5
+    priority: int = attrs.field(default=5, validator=checks.in_range(0, 9))
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     non_repeatable: tuple[NonRepeatableRule, ...] = ()
     access_keys: tuple[AccessKey, ...] = ()
-    max_concurrency: int = 64
-    max_output_tokens: int = 4096
-    first_token_deadline_s: float = 10.0
-    grant_fraction: float = 0.5
-    solo_grant_limit: int = 0
-    reserve_per_failure_domain: int = 0
+    max_concurrency: int = attrs.field(
+        default=64, validator=checks.in_range(1, 1_000_000)
+    )
+    max_output_tokens: int = attrs.field(
+        default=4096, validator=checks.in_range(1, 10_000_000)
+    )
+    first_token_deadline_s: float = attrs.field(
+        default=10.0, validator=checks.in_range(0.01, 3600)
+    )
+    grant_fraction: float = attrs.field(
+        default=0.5, validator=checks.in_range(0, 1)
+    )
+    solo_grant_limit: int = attrs.field(
+        default=0, validator=checks.in_range(0, MAX_AMOUNT)
+    )
+    reserve_per_failure_domain: int = attrs.field(
+        default=0, validator=checks.in_range(0, MAX_AMOUNT)
+    )
     enabled: bool = True
--- /dev/null
+++ b/hibiscuspass/router/config_forwarder.py
@@ -0,0 +1,61 @@
+"""Passes configuration changes on to peers."""
+
+import asyncio
+import collections
+import random
+
+from hibiscuspass.core.configuration import entry as entry_lib
+from hibiscuspass.core.configuration import messages
+from hibiscuspass.peers import transport as transport_lib
+from hibiscuspass.router import config_presence
+from hibiscuspass.settings import config_sync
+
+# Peers also learn by watch and poll, so the oldest may be dropped.
+_MAX_PENDING = 1000
+
+
+class Forwarder:
+    """Announces each change that was new here to a few random peers."""
+
+    def __init__(
+        self,
+        transport: transport_lib.Transport,
+        presence: config_presence.Presence,
+        cfg: config_sync.ConfigSyncSettings,
+        seed: str,
+    ) -> None:
+        self._transport = transport
+        self._presence = presence
+        self._cfg = cfg
+        self._random = random.Random(seed)
+        self._pending: collections.OrderedDict[str, entry_lib.ConfigEntry] = (
+            collections.OrderedDict()
+        )
+        self._wanted = asyncio.Event()
+
+    def add(self, entry: entry_lib.ConfigEntry) -> None:
+        """Queues a change; it replaces an earlier one of the workspace."""
+        self._pending[entry.name] = entry
+        if len(self._pending) > _MAX_PENDING:
+            self._pending.popitem(last=False)
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Sends queued changes until cancelled."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            msg = messages.ConfigAnnounce(tuple(self._pending.values()))
+            self._pending.clear()
+            peers = self._presence.copy_addresses()
+            chosen = self._random.sample(
+                peers, min(self._cfg.fanout, len(peers))
+            )
+            await asyncio.gather(
+                *(
+                    self._transport.request(
+                        address, msg, timeout_s=self._cfg.peer_timeout_s
+                    )
+                    for address in chosen
+                )
+            )
--- /dev/null
+++ b/hibiscuspass/router/config_runtime.py
@@ -0,0 +1,360 @@
+"""Keeps a router's configuration up to date."""
+
+import asyncio
+
+import prometheus_client
+import reactivex
+from reactivex import subject
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core.configuration import entry as entry_lib
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import member as member_lib
+from hibiscuspass.core.configuration import messages
+from hibiscuspass.core.configuration import table as table_lib
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.peers import transport as transport_lib
+from hibiscuspass.router import config_forwarder
+from hibiscuspass.router import config_presence
+from hibiscuspass.router import config_source
+from hibiscuspass.router import config_streams
+from hibiscuspass.router import fleet_source
+from hibiscuspass.settings import checks
+from hibiscuspass.settings import config_sync
+from hibiscuspass.settings import process as process_lib
+from hibiscuspass.settings import secrets
+from hibiscuspass.telemetry import logs
+from hibiscuspass.telemetry import recorder as recorder_lib
+
+_log = logs.get_logger(__name__)
+
+_APPLIED = prometheus_client.Counter(
+    "hibiscuspass_config_entries_total",
+    "Configuration entries received, by source and effect.",
+    ["source", "effect"],
+)
+_LOADS = prometheus_client.Counter(
+    "hibiscuspass_config_loads_total",
+    "Workspaces loaded on demand, by where they came from.",
+    ["source"],
+)
+_REGISTERED = prometheus_client.Gauge(
+    "hibiscuspass_config_registered",
+    "1 if the router is registered at the key-value service.",
+)
+
+
+class ConfigRuntime(config_source.ConfigSource):
+    """Merges watch, poll and announcements into one table.
+
+    Workspaces are loaded when they are first used; `load` or `load_by_key_id`
+    must come before the synchronous methods of `ConfigSource`.
+    """
+
+    def __init__(
+        self,
+        presence: config_presence.Presence,
+        store: kv_store.KvStore,
+        transport: transport_lib.Transport,
+        recorder: recorder_lib.Recorder,
+        process: incarnation.Incarnation,
+        cfg: config_sync.ConfigSyncSettings,
+        kv_timeout_s: float,
+    ) -> None:
+        self._presence = presence
+        self._store = store
+        self._transport = transport
+        self._recorder = recorder
+        self._process = str(process)
+        self._cfg = cfg
+        self._kv_timeout_s = kv_timeout_s
+        self.table = table_lib.ConfigTable(cfg.max_workspaces)
+        self._watch = config_streams.WatchStream(store, cfg)
+        self._poll = config_streams.PollStream(
+            store, cfg, self.table, kv_timeout_s, self._watch
+        )
+        self._announced: subject.Subject[config_streams.Observed] = (
+            subject.Subject()
+        )
+        self._forwarder = config_forwarder.Forwarder(
+            transport, presence, cfg, seed=self._process
+        )
+        self._changes: subject.Subject[entry_lib.ConfigEntry] = (
+            subject.Subject()
+        )
+        self._subscription = reactivex.merge(
+            self._watch.entries, self._poll.entries, self._announced
+        ).subscribe(self._on_observed)
+        self._loads: dict[str, asyncio.Task[refusal.Refusal | None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        transport.register(messages.ConfigAnnounce, self._on_announce)
+        transport.register(messages.ConfigHello, self._on_hello)
+        transport.register(messages.ConfigFetch, self._on_fetch)
+
+    # What the request path uses.
+
+    def workspace(self, name: str) -> workspace_lib.Workspace | None:
+        """Returns a loaded workspace's configuration."""
+        found = self.table.get(name)
+        return None if found is None else found.workspace
+
+    def workspace_by_key_id(
+        self, key_id: str
+    ) -> workspace_lib.Workspace | None:
+        """Returns the loaded workspace that an access key belongs to."""
+        ws = self.workspace(secrets.workspace_of_key_id(key_id))
+        known = ws is not None and any(
+            k.key_id == key_id for k in ws.access_keys
+        )
+        return ws if known else None
+
+    def revision(self, name: str) -> int:
+        """Returns the revision in force, 0 if the workspace isn't loaded."""
+        return self.table.revision(name)
+
+    async def load(
+        self, name: str
+    ) -> workspace_lib.Workspace | refusal.Refusal | None:
+        """Returns a workspace, reading it if it isn't loaded.
+
+        Returns:
+          The configuration, None if there is no such workspace, or a refusal
+          with `UNAVAILABLE` if neither the key-value service nor a peer can
+          tell, or `NOT_READY` before this router is known.
+        """
+        found = self.table.get(name)
+        if found is not None:
+            return found.workspace
+        if not checks.NAME.fullmatch(name):
+            return None
+        if not self._presence.is_known:
+            return refusal.Refusal(
+                reason.Reason.NOT_READY,
+                "the router is not registered yet",
+                retry_after_s=self._cfg.retry_interval_s,
+            )
+        if name not in self._loads:
+            task = asyncio.create_task(self._load(name))
+            self._loads[name] = task
+            task.add_done_callback(lambda _: self._loads.pop(name, None))
+        # Shielded: a caller that hangs up must not end the load of others.
+        failed = await asyncio.shield(self._loads[name])
+        if failed is not None:
+            return failed
+        return self.workspace(name)
+
+    async def load_by_key_id(
+        self, key_id: str
+    ) -> workspace_lib.Workspace | refusal.Refusal | None:
+        """Like `load`, for the workspace that an access key belongs to."""
+        loaded = await self.load(secrets.workspace_of_key_id(key_id))
+        if loaded is None or isinstance(loaded, refusal.Refusal):
+            return loaded
+        return self.workspace_by_key_id(key_id)
+
+    def changes(self) -> reactivex.Observable[entry_lib.ConfigEntry]:
+        """Emits each change of a loaded workspace."""
+        return self._changes
+
+    def is_ready(self) -> bool:
+        """Whether this router is known and may serve configuration."""
+        return self._presence.is_known
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Registers, or finds sponsors, and starts to follow changes.
+
+        Returns after the first attempt; see `is_ready`.
+        """
+        await self._presence.make_known()
+        loops = (
+            self._watch.run(),
+            self._poll.run(self._presence),
+            self._maintain_presence(),
+            self._forwarder.run(),
+        )
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def stop(self) -> None:
+        """Ends the registration; call it after the last request has ended."""
+        await self._cancel_tasks()
+        await self._presence.leave()
+        self._subscription.dispose()
+
+    async def abort(self) -> None:
+        """Stops at once and keeps the registration, as a crash would."""
+        await self._cancel_tasks()
+        self._subscription.dispose()
+
+    async def _cancel_tasks(self) -> None:
+        tasks = [*self._tasks, *self._loads.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks = []
+
+    # Streams.
+
+    def _on_observed(self, observed: config_streams.Observed) -> None:
+        entry = observed.entry
+        effect = self.table.announce(entry)
+        self._note(observed.source, entry, effect)
+        if effect in (
+            table_lib.Applied.CHANGED,
+            table_lib.Applied.FLOOR_RAISED,
+        ):
+            self._forwarder.add(entry)
+
+    def _note(
+        self,
+        source: str,
+        entry: entry_lib.ConfigEntry,
+        effect: table_lib.Applied,
+    ) -> None:
+        _APPLIED.labels(source, effect.value).inc()
+        if effect is table_lib.Applied.CHANGED:
+            self._recorder.emit(
+                "config.applied",
+                workspace=entry.name,
+                revision=entry.revision,
+                source=source,
+            )
+            self._changes.on_next(entry)
+        if effect is table_lib.Applied.MALFORMED:
+            _log.error(
+                "configuration ignored: the value is malformed",
+                workspace=entry.name,
+                revision=entry.revision,
+                problems=[str(p) for p in table_lib.problems(entry)],
+            )
+
+    async def _maintain_presence(self) -> None:
+        while True:
+            await self._presence.maintain()
+            _REGISTERED.set(self._presence.is_registered)
+            known = self._presence.is_registered
+            await asyncio.sleep(
+                self._cfg.poll_interval_s
+                if known
+                else self._cfg.retry_interval_s
+            )
+
+    # Loading on demand.
+
+    async def _load(self, name: str) -> refusal.Refusal | None:
+        read = await self._store.get(
+            keys.workspace(name), timeout_s=self._kv_timeout_s
+        )
+        if isinstance(read, kv_store.ReadResult):
+            entry = config_streams.entry_of(name, read)
+            if self._take(name, entry, read.revision, "key_value"):
+                return None
+        for address in self._presence.copy_addresses():
+            reply = await self._transport.request(
+                address,
+                messages.ConfigFetch((name,)),
+                timeout_s=self._cfg.peer_timeout_s,
+            )
+            if isinstance(reply, messages.ConfigCopy) and any(
+                self._take(name, e, 0, "peer") for e in reply.entries
+            ):
+                return None
+        _LOADS.labels("none").inc()
+        return refusal.Refusal(
+            reason.Reason.UNAVAILABLE,
+            f"configuration of workspace {name!r} can't be read: the"
+            " key-value service does not answer and no peer has it",
+            retry_after_s=self._cfg.retry_interval_s,
+        )
+
+    def _take(
+        self,
+        name: str,
+        entry: entry_lib.ConfigEntry,
+        as_of: int,
+        source: str,
+    ) -> bool:
+        """Applies a read entry; returns whether the workspace is loaded."""
+        if entry.name != name:
+            return False
+        self._note(source, entry, self.table.load(entry, as_of))
+        is_loaded = self.table.get(name) is not None
+        if is_loaded:
+            _LOADS.labels(source).inc()
+        return is_loaded
+
+    # Messages.
+
+    async def _on_announce(
+        self, _: incarnation.Incarnation, msg: messages.ConfigAnnounce
+    ) -> messages.ConfigAck:
+        for entry in msg.entries:
+            self._announced.on_next(
+                config_streams.Observed("announcement", entry)
+            )
+        return self._ack(tuple(e.name for e in msg.entries))
+
+    async def _on_hello(
+        self, _: incarnation.Incarnation, msg: messages.ConfigHello
+    ) -> messages.ConfigAck:
+        self._presence.sponsor(msg.routers)
+        return self._ack(())
+
+    async def _on_fetch(
+        self, _: incarnation.Incarnation, msg: messages.ConfigFetch
+    ) -> messages.ConfigCopy:
+        return messages.ConfigCopy(self.table.snapshot(msg.names))
+
+    def _ack(self, names: tuple[str, ...]) -> messages.ConfigAck:
+        # Read after the entries were applied: it tells what is in force.
+        return messages.ConfigAck(
+            self._process,
+            tuple(messages.Acknowledged(n, self.table.floor(n)) for n in names),
+            self._presence.known_routers(),
+        )
+
+
+def make_config_runtime(
+    *,
+    process: incarnation.Incarnation,
+    place: process_lib.ProcessSettings,
+    peer_address: str,
+    store: kv_store.KvStore,
+    transport: transport_lib.Transport,
+    fleet: fleet_source.FleetSource,
+    recorder: recorder_lib.Recorder,
+    cfg: config_sync.ConfigSyncSettings,
+    kv_timeout_s: float,
+) -> ConfigRuntime:
+    """Builds the configuration runtime of a router.
+
+    Args:
+      process: This router.
+      place: Where it runs.
+      peer_address: `host:port` of its peer link.
+      store: Key-value service.
+      transport: Peer links; the runtime registers its handlers.
+      fleet: Known routers.
+      recorder: Timeline of this process.
+      cfg: Intervals and bounds.
+      kv_timeout_s: Time limit of one call of the key-value service.
+    """
+    member = member_lib.Member(peer_address, place.failure_domain, place.region)
+    presence = config_presence.Presence(
+        config_presence.PresenceContext(
+            process=process,
+            member=member,
+            store=store,
+            transport=transport,
+            fleet=fleet,
+            kv_timeout_s=kv_timeout_s,
+            peer_timeout_s=cfg.peer_timeout_s,
+        )
+    )
+    return ConfigRuntime(
+        presence, store, transport, recorder, process, cfg, kv_timeout_s
+    )
--- /dev/null
+++ b/hibiscuspass/router/config_streams.py
@@ -0,0 +1,143 @@
+"""Streams of configuration entries from the key-value service."""
+
+import asyncio
+import collections
+
+import attrs
+import prometheus_client
+from reactivex import subject
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import refusal
+from hibiscuspass.core.configuration import entry as entry_lib
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import table as table_lib
+from hibiscuspass.router import config_presence
+from hibiscuspass.settings import config_sync
+
+_WATCHES_LOST = prometheus_client.Counter(
+    "hibiscuspass_config_watches_lost_total",
+    "Configuration watches that ended or fell behind.",
+)
+
+
+@attrs.frozen
+class Observed:
+    """An entry and the stream that it came from."""
+
+    source: str
+    entry: entry_lib.ConfigEntry
+
+
+def entry_of(name: str, read: kv_store.ReadResult) -> entry_lib.ConfigEntry:
+    """Returns what a read says about a workspace."""
+    if not read.entries:
+        return entry_lib.ConfigEntry(name, None, read.revision)
+    found = read.entries[0]
+    return entry_lib.ConfigEntry(name, found.value, found.revision)
+
+
+class WatchStream:
+    """Follows all workspaces by a watch that is opened again when lost.
+
+    Attributes:
+      entries: Emits each change.
+    """
+
+    def __init__(
+        self, store: kv_store.KvStore, cfg: config_sync.ConfigSyncSettings
+    ) -> None:
+        self.entries: subject.Subject[Observed] = subject.Subject()
+        self._store = store
+        self._cfg = cfg
+        self._next_revision = 0
+        self._is_behind = asyncio.Event()
+
+    def report_behind(self) -> None:
+        """Says that a change exists which the watch has not delivered."""
+        self._is_behind.set()
+
+    async def run(self) -> None:
+        """Follows changes until cancelled."""
+        while True:
+            self._is_behind.clear()
+            watch = asyncio.create_task(self._watch_once())
+            behind = asyncio.create_task(self._is_behind.wait())
+            try:
+                await asyncio.wait(
+                    [watch, behind],
+                    timeout=self._cfg.watch_max_age_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if watch.done() or behind.done():
+                    _WATCHES_LOST.inc()
+            finally:
+                watch.cancel()
+                behind.cancel()
+                await asyncio.gather(watch, behind, return_exceptions=True)
+            await asyncio.sleep(self._cfg.retry_interval_s)
+
+    async def _watch_once(self) -> None:
+        seen = False
+        async for change in self._store.watch(
+            keys.WORKSPACES, self._next_revision
+        ):
+            seen = True
+            self._next_revision = max(self._next_revision, change.revision + 1)
+            name = change.key.removeprefix(keys.WORKSPACES)
+            entry = entry_lib.ConfigEntry(name, change.value, change.revision)
+            self.entries.on_next(Observed("watch", entry))
+        if not seen:
+            # The service may have dropped the revisions asked for; begin with
+            # the current one and let polls find what was missed.
+            self._next_revision = 0
+
+
+class PollStream:
+    """Reads the loaded workspaces in turn.
+
+    Attributes:
+      entries: Emits what each read found.
+    """
+
+    def __init__(
+        self,
+        store: kv_store.KvStore,
+        cfg: config_sync.ConfigSyncSettings,
+        table: table_lib.ConfigTable,
+        timeout_s: float,
+        watch: WatchStream,
+    ) -> None:
+        self.entries: subject.Subject[Observed] = subject.Subject()
+        self._store = store
+        self._cfg = cfg
+        self._table = table
+        self._timeout_s = timeout_s
+        self._watch = watch
+        self._order: collections.deque[str] = collections.deque()
+
+    async def run(self, presence: config_presence.Presence) -> None:
+        """Polls until cancelled, while this router is known."""
+        while True:
+            await asyncio.sleep(self._cfg.poll_interval_s)
+            if presence.is_known:
+                await self._poll()
+
+    async def _poll(self) -> None:
+        if not self._order:
+            self._order.extend(self._table.names())
+        for _ in range(min(self._cfg.poll_batch, len(self._order))):
+            name = self._order.popleft()
+            before = self._table.revision(name)
+            read = await self._store.get(
+                keys.workspace(name), timeout_s=self._timeout_s
+            )
+            if isinstance(read, refusal.Refusal):
+                return
+            entry = entry_of(name, read)
+            # A change that arrived meanwhile is not one that the watch lost.
+            is_unseen = before == self._table.revision(name)
+            self.entries.on_next(Observed("poll", entry))
+            is_change = entry.raw is not None and entry.revision > before > 0
+            if is_unseen and is_change:
+                self._watch.report_behind()
--- a/hibiscuspass/settings/checks.py
+++ b/hibiscuspass/settings/checks.py
@@ -8,7 +8,7 @@
 
 Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
 
-_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 _NAME_RULE = "1 to 63 characters of a-z, 0-9 and -, not starting with -"
 _MAX_PORT = 65535
 
@@ -42,7 +42,7 @@
 
 def is_name() -> Validator:
     """Accepts names of processes, workspaces, models and the like."""
-    return _make(lambda v: _NAME.fullmatch(v) is not None, _NAME_RULE)
+    return _make(lambda v: NAME.fullmatch(v) is not None, _NAME_RULE)
 
 
 def is_text() -> Validator:
@@ -55,6 +55,18 @@
     return _make(lambda v: v in allowed, ", ".join(allowed))
 
 
+def matches(pattern: str, allowed: str) -> Validator:
+    """Accepts strings that a regular expression matches as a whole."""
+    return _make(lambda v: re.fullmatch(pattern, v) is not None, allowed)
+
+
+def starts_with(prefix: str) -> Validator:
+    """Accepts strings with a given prefix."""
+    return _make(
+        lambda v: v.startswith(prefix), f"a string that starts with {prefix!r}"
+    )
+
+
 def _is_host_port(value: str) -> bool:
     host, _, port = value.rpartition(":")
     return bool(host) and port.isdecimal() and 0 < int(port) <= _MAX_PORT
--- a/hibiscuspass/settings/structure.py
+++ b/hibiscuspass/settings/structure.py
@@ -149,6 +149,23 @@
     return structure
 
 
+def _structure_dict(data: Any, _: Any) -> dict[str, Any]:
+    if not isinstance(data, Mapping):
+        raise ProblemsError([Problem("", data, "a mapping")])
+    collector = _Collector()
+    collector.problems += [
+        Problem("", k, "a string as key")
+        for k in data
+        if not isinstance(k, str)
+    ]
+    collector.check()
+    return dict(data)
+
+
+def _is_dict(tp: Any) -> bool:
+    return tp == dict[str, Any]
+
+
 def _is_tuple(tp: Any) -> bool:
     return getattr(tp, "__origin__", None) is tuple
 
@@ -165,6 +182,7 @@
     conv.register_structure_hook_factory(
         _is_tuple, lambda tp: _tuple_hook(conv, tp)
     )
+    conv.register_structure_hook_func(_is_dict, _structure_dict)
     conv.register_unstructure_hook_factory(
         attrs.has, lambda cls: gen.make_dict_unstructure_fn(cls, conv)
     )
