Add the budget core as an I/O-free state machine

Ruled out: separate handling of each lost reply. The holder plans the next ledger value from the present one and follows only a ledger that was read back or certainly written, so a repeated or late write needs no case of its own.

Before: interfaces only.

--- /dev/null
+++ b/hibiscuspass/core/budget/entry.py
@@ -0,0 +1,390 @@
+"""Permits of callers that are connected to this router."""
+
+import enum
+
+import attrs
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node_context
+from hibiscuspass.core.budget import permit as permit_lib
+
+WAKE_KEY = "\0entry"
+
+# The first routers in rendezvous order; then this router itself is asked.
+_MAX_ASKED_PEERS = 3
+# A settlement that its holder has not confirmed is checked against the ledger
+# after this many reports.
+_REPORTS_BEFORE_LOOKUP = 2
+
+
+@attrs.define
+class Attempt:
+    """An attempt that waits for a permit.
+
+    Attributes:
+      req: What it asks for.
+      deadline_s: Time at which it gives up.
+      candidates: Routers still to be asked.
+      asked: Router that was asked last.
+      ask_id: Number of the present ask.
+      next_at_s: Time at which the next router is asked.
+      answer: Latest refusal of a holder.
+      redirected: Routers that the attempt was redirected to.
+    """
+
+    req: permit_lib.PermitRequest
+    deadline_s: float
+    candidates: list[incarnation.Incarnation]
+    asked: incarnation.Incarnation | None = None
+    ask_id: int = 0
+    next_at_s: float = 0.0
+    answer: messages.AskRefused | None = None
+    redirected: set[incarnation.Incarnation] = attrs.field(factory=set)
+
+
+class UseState(enum.Enum):
+    """Progress of a permit at its entry router."""
+
+    HELD = "held"
+    SETTLED = "settled"
+
+
+@attrs.define
+class PermitUse:
+    """A permit that was handed to an attempt.
+
+    Attributes:
+      permit: The permit.
+      holder: Latest known holder of its grant.
+      epoch: Epoch of that holder.
+      keyed: Whether the caller sent an idempotency key.
+      state: Progress.
+      backend: Backend server in use, or an empty string.
+      cost: Final cost.
+      kind: How the cost is known.
+      reports: Number of reports sent.
+      next_at_s: Time of the next report.
+    """
+
+    permit: permit_lib.Permit
+    holder: incarnation.Incarnation
+    epoch: int
+    keyed: bool
+    state: UseState = UseState.HELD
+    backend: str = ""
+    cost: int = 0
+    kind: permit_lib.CostKind = permit_lib.CostKind.REPORTED
+    reports: int = 0
+    next_at_s: float = 0.0
+
+
+class EntryRole:
+    """Asks for permits, reports their costs and answers status checks.
+
+    Attributes:
+      attempts: Attempts that wait, by attempt id.
+      uses: Permits in use or not yet durably settled, by attempt id.
+    """
+
+    def __init__(self, ctx: node_context.NodeContext) -> None:
+        self._ctx = ctx
+        self.attempts: dict[str, Attempt] = {}
+        self.uses: dict[str, PermitUse] = {}
+        self._unconfirmed: dict[str, PermitUse] = {}
+
+    @property
+    def settled_everywhere(self) -> bool:
+        """Whether no settlement waits for its confirmation."""
+        return not self.uses
+
+    def acquire(self, req: permit_lib.PermitRequest, deadline_s: float) -> None:
+        """Starts to ask for a permit."""
+        if req.worst_case <= 0:
+            self._decide(
+                req.attempt_id,
+                refusal.Refusal(
+                    reason_lib.Reason.INVALID_REQUEST,
+                    f"worst case {req.worst_case}: must be above 0",
+                ),
+            )
+            return
+        order = self._ctx.fleet.order(req.workspace)[:_MAX_ASKED_PEERS]
+        candidates = list(order)
+        if self._ctx.own not in candidates:
+            candidates.append(self._ctx.own)
+        attempt = Attempt(req, deadline_s, candidates)
+        self.attempts[req.attempt_id] = attempt
+        self._ctx.wake(WAKE_KEY, deadline_s)
+        self._ask_next(attempt)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Makes an attempt void."""
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is not None:
+            return
+        use = self.uses.get(attempt_id)
+        if use is not None and use.state is UseState.HELD and not use.backend:
+            self.settle(use.permit, 0, permit_lib.CostKind.REPORTED)
+
+    def mark_used(self, permit: permit_lib.Permit, backend: str) -> None:
+        """Records the backend server of an attempt."""
+        use = self.uses.get(permit.attempt_id)
+        if use is None:
+            return
+        use.backend = backend
+        if use.keyed:
+            # Retries attach by this name; other permits don't need it.
+            self._ctx.send(
+                use.holder,
+                messages.PermitUsed(
+                    self._ctx.next_id(),
+                    use.holder,
+                    permit.workspace,
+                    permit.grant_id,
+                    permit.request_id,
+                    permit.attempt_id,
+                    backend,
+                ),
+            )
+
+    def settle(
+        self,
+        permit: permit_lib.Permit,
+        cost: int,
+        kind: permit_lib.CostKind,
+    ) -> None:
+        """Reports the final cost until it is durable."""
+        use = self.uses.get(permit.attempt_id)
+        if use is None or use.state is UseState.SETTLED:
+            return
+        use.state = UseState.SETTLED
+        use.cost = max(0, min(cost, permit.hold))
+        use.kind = kind
+        self._unconfirmed[permit.attempt_id] = use
+        self._report(use)
+
+    def on_granted(
+        self, sender: incarnation.Incarnation, msg: messages.PermitGranted
+    ) -> None:
+        """Hands a permit to its attempt, or returns it."""
+        attempt = self.attempts.pop(msg.attempt_id, None)
+        if attempt is None:
+            use = self.uses.get(msg.attempt_id)
+            if use is None or use.permit.grant_id != msg.grant_id:
+                self._void(sender, msg)
+            return
+        permit = permit_lib.Permit(
+            msg.request_id,
+            msg.attempt_id,
+            msg.workspace,
+            msg.grant_id,
+            sender,
+            msg.hold,
+            msg.backend,
+        )
+        self.uses[msg.attempt_id] = PermitUse(
+            permit, sender, msg.epoch, attempt.req.keyed
+        )
+        self._decide(msg.attempt_id, permit)
+
+    def on_attached(self, msg: messages.AskAttached) -> None:
+        """Tells a retry that another attempt has the permit."""
+        attempt = self.attempts.get(msg.attempt_id)
+        if attempt is None:
+            return
+        del self.attempts[msg.attempt_id]
+        self._decide(
+            msg.attempt_id,
+            permit_lib.Attach(msg.request_id, msg.backend, msg.settled),
+        )
+
+    def on_refused(
+        self, sender: incarnation.Incarnation, msg: messages.AskRefused
+    ) -> None:
+        """Asks the next router, or gives up."""
+        attempt = self.attempts.get(msg.attempt_id)
+        if attempt is None:
+            return
+        attempt.answer = msg
+        target = msg.redirect
+        if target is not None and target not in attempt.redirected:
+            attempt.redirected.add(target)
+            attempt.candidates.insert(0, target)
+        if msg.final:
+            self._give_up(attempt)
+        elif sender == attempt.asked and msg.ask_id == attempt.ask_id:
+            self._ask_next(attempt)
+
+    def on_send_failed(self, msg: messages.Request) -> None:
+        """Asks the next router at once if the last one can't be reached."""
+        if isinstance(msg, messages.Ask):
+            attempt = self.attempts.get(msg.attempt_id)
+            if attempt is not None and attempt.ask_id == msg.ask_id:
+                self._ask_next(attempt)
+
+    def on_durable(self, msg: messages.SettlementsDurable) -> None:
+        """Discards reports that are durable."""
+        for attempt_id in msg.attempt_ids:
+            use = self.uses.get(attempt_id)
+            if (
+                use is not None
+                and use.permit.grant_id == msg.grant_id
+                and use.state is UseState.SETTLED
+            ):
+                self._discard(attempt_id)
+
+    def on_moved(self, msg: messages.GrantMoved) -> None:
+        """Learns the present holder of a grant, or that it is closed."""
+        for attempt_id, use in list(self._unconfirmed.items()):
+            if use.permit.grant_id != msg.grant_id:
+                continue
+            if msg.closed:
+                self._discard(attempt_id)
+            elif msg.holder is not None and msg.epoch > use.epoch:
+                use.holder, use.epoch = msg.holder, msg.epoch
+                self._report(use)
+
+    def on_status_check(
+        self, sender: incarnation.Incarnation, msg: messages.StatusCheck
+    ) -> None:
+        """Tells a holder what became of permits."""
+        statuses = tuple(
+            self._status(sender, msg, attempt_id)
+            for attempt_id in msg.attempt_ids
+        )
+        self._ctx.send(
+            sender,
+            messages.StatusAnswer(
+                msg.ask_id, msg.workspace, msg.grant_id, statuses
+            ),
+        )
+
+    def pump(self) -> None:
+        """Does what is due."""
+        for attempt in list(self.attempts.values()):
+            if self._ctx.now_s >= attempt.deadline_s:
+                self._give_up(attempt)
+            elif self._ctx.now_s >= attempt.next_at_s:
+                self._ask_next(attempt)
+            else:
+                self._ctx.wake(
+                    WAKE_KEY, min(attempt.next_at_s, attempt.deadline_s)
+                )
+        for use in list(self._unconfirmed.values()):
+            if self._ctx.now_s >= use.next_at_s:
+                self._report(use)
+            else:
+                self._ctx.wake(WAKE_KEY, use.next_at_s)
+
+    def _ask_next(self, attempt: Attempt) -> None:
+        if not attempt.candidates:
+            self._give_up(attempt)
+            return
+        req = attempt.req
+        attempt.asked = attempt.candidates.pop(0)
+        attempt.ask_id = self._ctx.next_id()
+        attempt.next_at_s = self._ctx.now_s + self._ctx.timing.ask_timeout_s
+        self._ctx.wake(WAKE_KEY, attempt.next_at_s)
+        self._ctx.send(
+            attempt.asked,
+            messages.Ask(
+                attempt.ask_id,
+                attempt.asked,
+                req.request_id,
+                req.attempt_id,
+                req.workspace,
+                req.worst_case,
+                req.keyed,
+                req.model,
+            ),
+        )
+
+    def _give_up(self, attempt: Attempt) -> None:
+        del self.attempts[attempt.req.attempt_id]
+        answer = attempt.answer
+        if answer is not None:
+            outcome = refusal.Refusal(answer.reason, answer.detail, answer.run)
+        elif attempt.req.keyed:
+            outcome = refusal.Refusal(
+                reason_lib.Reason.PRIMARY_UNREACHABLE,
+                "no router answered for the primary grant of workspace"
+                f" {attempt.req.workspace!r}",
+                run_state.RunState.UNKNOWN,
+            )
+        else:
+            outcome = refusal.Refusal(
+                reason_lib.Reason.BUDGET_UNAVAILABLE,
+                "no router answered for the budget of workspace"
+                f" {attempt.req.workspace!r}",
+            )
+        self._decide(attempt.req.attempt_id, outcome)
+
+    def _decide(self, attempt_id: str, outcome: actions.Outcome) -> None:
+        self._ctx.out.append(actions.Decide(attempt_id, outcome))
+
+    def _void(
+        self, sender: incarnation.Incarnation, msg: messages.PermitGranted
+    ) -> None:
+        self._ctx.send(
+            sender,
+            messages.VoidPermit(
+                self._ctx.next_id(),
+                sender,
+                msg.workspace,
+                msg.grant_id,
+                msg.request_id,
+                msg.attempt_id,
+            ),
+        )
+
+    def _report(self, use: PermitUse) -> None:
+        use.reports += 1
+        retry_s = self._ctx.timing.report_retry_s
+        use.next_at_s = self._ctx.now_s + retry_s
+        self._ctx.wake(WAKE_KEY, use.next_at_s)
+        lookup = use.reports > _REPORTS_BEFORE_LOOKUP and use.reports % 2
+        # A router that doesn't hold the grant answers from the ledger.
+        to = self._ctx.own if lookup else use.holder
+        self._ctx.send(
+            to,
+            messages.SettlePermit(
+                self._ctx.next_id(),
+                to,
+                use.permit.workspace,
+                use.permit.grant_id,
+                use.permit.request_id,
+                use.permit.attempt_id,
+                use.cost,
+                use.kind,
+            ),
+        )
+
+    def _discard(self, attempt_id: str) -> None:
+        self.uses.pop(attempt_id, None)
+        self._unconfirmed.pop(attempt_id, None)
+
+    def _status(
+        self,
+        sender: incarnation.Incarnation,
+        msg: messages.StatusCheck,
+        attempt_id: str,
+    ) -> messages.AttemptStatus:
+        if attempt_id in self.attempts:
+            return messages.AttemptStatus(attempt_id)
+        use = self.uses.get(attempt_id)
+        if use is None or use.permit.grant_id != msg.grant_id:
+            return messages.AttemptStatus(attempt_id, void=True)
+        if msg.epoch > use.epoch:
+            use.holder, use.epoch = sender, msg.epoch
+        return messages.AttemptStatus(
+            attempt_id,
+            settled=use.state is UseState.SETTLED,
+            backend=use.backend,
+            cost=use.cost,
+            kind=use.kind,
+        )
--- /dev/null
+++ b/hibiscuspass/core/budget/fleet_index.py
@@ -0,0 +1,115 @@
+"""Look-ups over the view of the fleet."""
+
+import xxhash
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.membership import fleet_view
+
+_MAX_CACHED_ORDERS = 10_000
+
+
+class FleetIndex:
+    """Routers by state and in rendezvous order."""
+
+    def __init__(self, own: incarnation.Incarnation) -> None:
+        self._own = own
+        self._members: dict[
+            incarnation.Incarnation, fleet_view.RouterMember
+        ] = {}
+        self._orders: dict[str, tuple[incarnation.Incarnation, ...]] = {}
+
+    def update(self, view: fleet_view.FleetView) -> None:
+        """Takes in a new view."""
+        known_gone = {
+            i: m
+            for i, m in self._members.items()
+            if m.state is fleet_view.MemberState.GONE
+        }
+        self._members = {m.incarnation: m for m in view.routers}
+        # Gone is final, also if a later view no longer lists the router.
+        self._members.update(known_gone)
+        self._orders.clear()
+
+    def is_live(self, router: incarnation.Incarnation) -> bool:
+        """Whether a router is believed to serve requests."""
+        return self._state(router) is fleet_view.MemberState.LIVE
+
+    def is_reachable(self, router: incarnation.Incarnation) -> bool:
+        """Whether a router is believed to answer, leaving or not."""
+        return self._state(router) in (
+            fleet_view.MemberState.LIVE,
+            fleet_view.MemberState.LEAVING,
+        )
+
+    def is_gone(self, router: incarnation.Incarnation) -> bool:
+        """Whether a router has certainly ended."""
+        return self._state(router) is fleet_view.MemberState.GONE
+
+    def is_lost(self, router: incarnation.Incarnation) -> bool:
+        """Whether a router has ended or is not known to anyone."""
+        return self._state(router) in (None, fleet_view.MemberState.GONE)
+
+    def address(self, router: incarnation.Incarnation) -> str | None:
+        """Returns the peer address of a router, None if unknown."""
+        member = self._members.get(router)
+        return None if member is None else member.peer_address
+
+    def order(self, key: str) -> tuple[incarnation.Incarnation, ...]:
+        """Returns the live routers in the rendezvous order of a key."""
+        cached = self._orders.get(key)
+        if cached is None:
+            if len(self._orders) >= _MAX_CACHED_ORDERS:
+                self._orders.clear()
+            live = (
+                m.incarnation
+                for m in self._members.values()
+                if m.state is fleet_view.MemberState.LIVE
+            )
+            cached = tuple(sorted(live, key=lambda r: _rank(r, key)))
+            self._orders[key] = cached
+        return cached
+
+    def witness_for(
+        self,
+        grant_id: str,
+        excluded: frozenset[incarnation.Incarnation],
+    ) -> incarnation.Incarnation | None:
+        """Chooses a witness, in another failure domain if there is one."""
+        own_domain = self._domain(self._own)
+        candidates = [
+            r
+            for r in self.order(grant_id)
+            if r != self._own and r not in excluded
+        ]
+        return next(
+            (r for r in candidates if self._domain(r) != own_domain),
+            candidates[0] if candidates else None,
+        )
+
+    def is_first_in_domain(self, key: str) -> bool:
+        """Whether this router is first in the order of its failure domain."""
+        domain = self._domain(self._own)
+        return (
+            next(
+                (r for r in self.order(key) if self._domain(r) == domain), None
+            )
+            == self._own
+        )
+
+    def _state(
+        self, router: incarnation.Incarnation
+    ) -> fleet_view.MemberState | None:
+        member = self._members.get(router)
+        return None if member is None else member.state
+
+    def _domain(self, router: incarnation.Incarnation) -> str:
+        member = self._members.get(router)
+        return "" if member is None else member.failure_domain
+
+
+def _rank(router: incarnation.Incarnation, key: str) -> tuple[int, str]:
+    # The name alone is hashed, so that a restart doesn't move grants.
+    return (
+        -xxhash.xxh64_intdigest(f"{router.name}\0{key}".encode()),
+        router.start_id,
+    )
--- /dev/null
+++ b/hibiscuspass/core/budget/grant.py
@@ -0,0 +1,31 @@
+"""A share of a workspace's prepaid budget, held by one router."""
+
+import attrs
+
+from hibiscuspass.core import incarnation
+
+
+@attrs.frozen
+class Grant:
+    """One grant as it is stored in the ledger.
+
+    Attributes:
+      id: Unique id, never used again.
+      holder: Router that issues permits from the grant.
+      witness: Router that acknowledges each permit; None for a solo grant.
+      epoch: Increases with every change of holder or witness.
+      amount: Budget units taken out of the ledger, including `settled`.
+      settled: Spend in the billing log as far as the ledger has followed it.
+      batches: Billing batches that the ledger has followed.
+      operation: Id of the change that set holder, witness and epoch. It names
+        the witness's table for the epoch; at creation it equals `id`.
+    """
+
+    id: str
+    holder: incarnation.Incarnation
+    witness: incarnation.Incarnation | None
+    epoch: int
+    amount: int
+    settled: int = 0
+    batches: int = 0
+    operation: str = ""
--- /dev/null
+++ b/hibiscuspass/core/budget/node.py
@@ -0,0 +1,364 @@
+"""The budget subsystem of one router, free of I/O."""
+
+from collections.abc import Callable
+from typing import Any
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import drainer
+from hibiscuspass.core.budget import entry
+from hibiscuspass.core.budget import events
+from hibiscuspass.core.budget import ledger_port
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node_context
+from hibiscuspass.core.budget import reporter
+from hibiscuspass.core.budget import timing as timing_lib
+from hibiscuspass.core.budget import witness
+from hibiscuspass.core.budget import workspace_holder
+
+_Sender = incarnation.Incarnation
+_WITNESS_WAKE_KEY = "\0witness"
+# Objects of workspaces without state are discarded above this number.
+_MAX_IDLE_WORKSPACES = 5_000
+
+
+class BudgetNode:
+    """Entry, holder, witness and report roles of one router.
+
+    Each event returns the actions that follow from it. Messages to the router
+    itself are handled at once and don't appear among the actions.
+    """
+
+    holder_type: type[workspace_holder.WorkspaceHolder] = (
+        workspace_holder.WorkspaceHolder
+    )
+    witness_type: type[witness.WitnessRole] = witness.WitnessRole
+
+    def __init__(
+        self,
+        own: incarnation.Incarnation,
+        policy: node_context.PolicyLookup,
+        timing: timing_lib.BudgetTiming | None = None,
+    ) -> None:
+        self.ctx = node_context.NodeContext(
+            own, timing or timing_lib.BudgetTiming(), policy
+        )
+        self.entry = entry.EntryRole(self.ctx)
+        self.witness = self.witness_type(self.ctx)
+        self.reporter = reporter.Reporter(self.ctx, self._holder)
+        self.holders: dict[str, workspace_holder.WorkspaceHolder] = {}
+        self._drainer = drainer.Drainer(self.ctx)
+        self._touched: dict[str, None] = {}
+        self._event_handlers: dict[type, Callable[[Any], None]] = {
+            events.Acquire: self._on_acquire,
+            events.Cancel: self._on_cancel,
+            events.MarkUsed: self._on_mark_used,
+            events.Settle: self._on_settle,
+            events.Received: self._on_received,
+            events.SendFailed: self._on_send_failed,
+            events.KvReadDone: self._on_read_done,
+            events.KvCasDone: self._on_cas_done,
+            events.FleetChanged: self._on_fleet,
+            events.KeepReserves: self._on_keep_reserves,
+            events.Drain: self._on_drain,
+            events.Tick: lambda _: None,
+        }
+        self._handlers = self._make_handlers()
+
+    def handle(
+        self, event: events.Event, now_s: float
+    ) -> tuple[actions.Action, ...]:
+        """Takes in an event.
+
+        Args:
+          event: What happened.
+          now_s: Time of a monotonic clock in seconds.
+
+        Returns:
+          What to do, in order.
+        """
+        self.ctx.now_s = max(now_s, self.ctx.now_s)
+        self._event_handlers[type(event)](event)
+        for key in self.ctx.due():
+            self._wake(key)
+        return self._settle_down()
+
+    def next_wake_s(self) -> float | None:
+        """Returns when `events.Tick` is due; None if nothing waits."""
+        return self.ctx.next_wake_s()
+
+    # Internal flow.
+
+    def _settle_down(self) -> tuple[actions.Action, ...]:
+        result: list[actions.Action] = []
+        while self._touched or self.ctx.out:
+            touched, self._touched = self._touched, {}
+            for workspace in touched:
+                self._pump_workspace(workspace)
+            if self.ctx.draining:
+                self._pump_drain()
+            out, self.ctx.out = self.ctx.out, []
+            for action in out:
+                if (
+                    isinstance(action, actions.Send)
+                    and action.to == self.ctx.own
+                ):
+                    self._dispatch(self.ctx.own, action.msg)
+                else:
+                    result.append(action)
+        return tuple(result)
+
+    def _pump_workspace(self, workspace: str) -> None:
+        holder = self.holders.get(workspace)
+        if holder is None:
+            return
+        holder.pump()
+        if len(self.holders) > _MAX_IDLE_WORKSPACES and holder.unused:
+            del self.holders[workspace]
+
+    def _wake(self, key: str) -> None:
+        if key == entry.WAKE_KEY:
+            self.entry.pump()
+        elif key == reporter.WAKE_KEY:
+            self.reporter.pump()
+        elif key == _WITNESS_WAKE_KEY:
+            self._watch_holders()
+        elif key == drainer.WAKE_KEY:
+            pass
+        else:
+            self._touched[key] = None
+
+    def _holder(self, workspace: str) -> workspace_holder.WorkspaceHolder:
+        self._touched[workspace] = None
+        known = self.holders.get(workspace)
+        if known is None:
+            known = self.holder_type(self.ctx, workspace)
+            self.holders[workspace] = known
+        return known
+
+    def _pump_drain(self) -> None:
+        leaving = [
+            (t, key)
+            for key, t in self.witness.tables.items()
+            if t.holder is not None and not t.sealed
+        ]
+        for t, (grant_id, operation) in leaving:
+            if t.holder is not None and self.ctx.fleet.is_live(t.holder):
+                self._warn_holder(t, grant_id, operation)
+        self._drainer.pump(
+            self.holders,
+            other_roles_done=not leaving and self.entry.settled_everywhere,
+        )
+
+    def _warn_holder(
+        self, table: witness.WitnessTable, grant_id: str, operation: str
+    ) -> None:
+        if self.ctx.now_s < table.warned_at_s + self.ctx.timing.append_retry_s:
+            return
+        table.warned_at_s = self.ctx.now_s
+        assert table.holder is not None
+        self.ctx.send(
+            table.holder,
+            messages.WitnessLeaving(
+                self.ctx.next_id(),
+                table.holder,
+                table.workspace,
+                grant_id,
+                operation,
+            ),
+        )
+
+    def _watch_holders(self) -> None:
+        """Takes over the grants of holders that have failed."""
+        waiting = any(
+            t.holder is None or not self.ctx.fleet.is_reachable(t.holder)
+            for t in self.witness.tables.values()
+        )
+        for grant_id, operation, table in self.witness.suspects():
+            holder = self._holder(table.workspace)
+            holder.on_ledger(
+                self._takeover_check(grant_id, operation, table.workspace)
+            )
+        if waiting:
+            self.ctx.wake(
+                _WITNESS_WAKE_KEY,
+                self.ctx.now_s + self.ctx.timing.takeover_s,
+            )
+
+    def _takeover_check(
+        self, grant_id: str, operation: str, workspace: str
+    ) -> Callable[[ledger_port.LedgerPort], None]:
+        def check(port: ledger_port.LedgerPort) -> None:
+            led = port.ledger
+            grant = None if led is None else led.grants.get(grant_id)
+            known = self.witness.tables.get((grant_id, operation))
+            if known is None:
+                return
+            if grant is None or (
+                grant.operation != operation and grant.epoch >= known.epoch
+            ):
+                self.witness.discard(grant_id, operation)
+                return
+            if grant.operation != operation:
+                return
+            if self.ctx.fleet.is_reachable(grant.holder):
+                return
+            table = self.witness.seal(grant_id, operation, workspace)
+            self._holder(workspace).start_takeover(grant, table)
+
+        return check
+
+    # Events.
+
+    def _on_acquire(self, event: events.Acquire) -> None:
+        self.entry.acquire(event.req, event.deadline_s)
+
+    def _on_cancel(self, event: events.Cancel) -> None:
+        self.entry.cancel(event.attempt_id)
+
+    def _on_mark_used(self, event: events.MarkUsed) -> None:
+        self.entry.mark_used(event.permit, event.backend)
+
+    def _on_settle(self, event: events.Settle) -> None:
+        self.entry.settle(event.permit, event.cost, event.kind)
+
+    def _on_received(self, event: events.Received) -> None:
+        self._dispatch(event.sender, event.msg)
+
+    def _on_send_failed(self, event: events.SendFailed) -> None:
+        self.entry.on_send_failed(event.msg)
+
+    def _on_read_done(self, event: events.KvReadDone) -> None:
+        self._call_done(event.token, event.result, is_write=False)
+
+    def _on_cas_done(self, event: events.KvCasDone) -> None:
+        self._call_done(event.token, event.result, is_write=True)
+
+    def _call_done(self, token: int, result: Any, *, is_write: bool) -> None:
+        workspace = self.ctx.end_call(token)
+        holder = self.holders.get(workspace)
+        if holder is not None:
+            holder.on_call_done(token, result, is_write=is_write)
+            self._touched[workspace] = None
+
+    def _on_fleet(self, event: events.FleetChanged) -> None:
+        self.ctx.fleet.update(event.view)
+        self._touched.update((w, None) for w in self.holders)
+        self._watch_holders()
+
+    def _on_keep_reserves(self, event: events.KeepReserves) -> None:
+        wanted = set(event.workspaces)
+        for workspace, holder in self.holders.items():
+            holder.keeps_reserve = workspace in wanted
+        for workspace in wanted:
+            self._holder(workspace).keeps_reserve = True
+
+    def _on_drain(self, _: events.Drain) -> None:
+        self.ctx.draining = True
+        self._touched.update((w, None) for w in self.holders)
+
+    # Messages.
+
+    def _dispatch(self, sender: _Sender, msg: messages.Message) -> None:
+        if isinstance(msg, messages.Request) and msg.to != self.ctx.own:
+            return
+        handler = self._handlers.get(type(msg))
+        if handler is not None:
+            handler(sender, msg)
+
+    def _make_handlers(self) -> dict[type, Callable[[_Sender, Any], None]]:
+        own = workspace_holder.WorkspaceHolder
+        to_holder: dict[type, Callable[[Any, _Sender, Any], None]] = {
+            messages.Ask: own.on_ask,
+            messages.VoidPermit: own.on_void,
+            messages.PermitUsed: own.on_used,
+            messages.SettlePermit: own.on_settle,
+            messages.StatusAnswer: own.on_statuses,
+            messages.RowsAppended: own.on_appended,
+            messages.TableInstalled: own.on_installed,
+            messages.EpochSealed: own.on_sealed,
+            messages.RecallBudget: own.on_recall,
+        }
+        handlers = {
+            msg_type: self._holder_handler(method)
+            for msg_type, method in to_holder.items()
+        }
+        return handlers | {
+            messages.PermitGranted: self.entry.on_granted,
+            messages.AskAttached: lambda _, m: self.entry.on_attached(m),
+            messages.AskRefused: self.entry.on_refused,
+            messages.GrantMoved: lambda _, m: self.entry.on_moved(m),
+            messages.SettlementsDurable: self._on_durable,
+            messages.StatusCheck: self.entry.on_status_check,
+            messages.AppendRows: self.witness.on_append,
+            messages.InstallTable: self.witness.on_install,
+            messages.SealEpoch: self.witness.on_seal,
+            messages.ForgetTable: self._on_forget,
+            messages.WitnessLeaving: self._on_witness_leaving,
+            messages.BudgetRecalled: self._on_recalled,
+            messages.HandOver: self._on_hand_over,
+            messages.GrantQuery: self._on_grant_query,
+            messages.GrantAnswer: lambda _, m: self.reporter.on_answer(m),
+            messages.ReportRequest: self.reporter.on_request,
+        }
+
+    def _holder_handler(
+        self, method: Callable[[Any, _Sender, Any], None]
+    ) -> Callable[[_Sender, Any], None]:
+        name = method.__name__
+
+        def handle(sender: _Sender, msg: Any) -> None:
+            # A late reply needs no holder object of its own.
+            if isinstance(msg, messages.Reply) and (
+                msg.workspace not in self.holders  # type: ignore[attr-defined]
+            ):
+                return
+            holder = self._holder(msg.workspace)
+            getattr(holder, name)(sender, msg)
+
+        return handle
+
+    def _done(self, sender: _Sender, msg: messages.Message) -> None:
+        self.ctx.send(sender, messages.Done(msg.ask_id))
+
+    def _on_durable(
+        self, sender: _Sender, msg: messages.SettlementsDurable
+    ) -> None:
+        self.entry.on_durable(msg)
+        self._done(sender, msg)
+
+    def _on_forget(self, sender: _Sender, msg: messages.ForgetTable) -> None:
+        self.witness.on_forget(msg)
+        self._done(sender, msg)
+
+    def _on_witness_leaving(
+        self, sender: _Sender, msg: messages.WitnessLeaving
+    ) -> None:
+        self._holder(msg.workspace).on_witness_leaving(msg)
+        self._done(sender, msg)
+
+    def _on_recalled(
+        self, sender: _Sender, msg: messages.BudgetRecalled
+    ) -> None:
+        self._holder(msg.workspace).on_recalled(sender)
+
+    def _on_hand_over(self, sender: _Sender, msg: messages.HandOver) -> None:
+        def start(port: ledger_port.LedgerPort) -> None:
+            led = port.ledger
+            grant = None if led is None else led.grants.get(msg.grant_id)
+            if grant is not None and grant.operation == msg.operation:
+                self._holder(msg.workspace).start_takeover(grant, msg.table)
+
+        self._holder(msg.workspace).on_ledger(start)
+        self._done(sender, msg)
+
+    def _on_grant_query(
+        self, sender: _Sender, msg: messages.GrantQuery
+    ) -> None:
+        states = self._holder(msg.workspace).states()
+        self.ctx.send(
+            sender,
+            messages.GrantAnswer(
+                msg.ask_id, msg.workspace, self.ctx.own, states
+            ),
+        )
--- /dev/null
+++ b/hibiscuspass/core/budget/node_context.py
@@ -0,0 +1,123 @@
+"""What the roles of one budget node share."""
+
+from collections.abc import Callable
+import heapq
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import fleet_index
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import timing as timing_lib
+from hibiscuspass.core.configuration import workspace as workspace_lib
+
+# A router that did not answer as a witness is tried again after this time.
+_DISTRUST_S = 5.0
+
+PolicyLookup = Callable[[str], workspace_lib.Workspace | None]
+
+
+class NodeContext:
+    """Identity, settings, time, timers and outgoing actions.
+
+    Attributes:
+      own: Incarnation of this router.
+      timing: Delays.
+      policy: Looks up the configuration of a workspace.
+      fleet: View of the fleet.
+      now_s: Time of the event in hand, from a monotonic clock.
+      draining: Whether the process is about to stop.
+      out: Actions of the event in hand.
+    """
+
+    def __init__(
+        self,
+        own: incarnation.Incarnation,
+        timing: timing_lib.BudgetTiming,
+        policy: PolicyLookup,
+    ) -> None:
+        self.own = own
+        self.timing = timing
+        self.policy = policy
+        self.fleet = fleet_index.FleetIndex(own)
+        self.now_s = 0.0
+        self.draining = False
+        self.out: list[actions.Action] = []
+        self._next_id = 0
+        self._calls: dict[int, str] = {}
+        self._distrusted: dict[incarnation.Incarnation, float] = {}
+        self._wakes: list[tuple[float, str]] = []
+        self._wake_at: dict[str, float] = {}
+
+    def next_id(self) -> int:
+        """Returns a number that this incarnation has not used yet."""
+        self._next_id += 1
+        return self._next_id
+
+    def start_call(self, workspace: str) -> int:
+        """Returns the token of a new call of the key-value service."""
+        token = self.next_id()
+        self._calls[token] = workspace
+        return token
+
+    def end_call(self, token: int) -> str:
+        """Returns the workspace of a call, an empty string if it is over."""
+        return self._calls.pop(token, "")
+
+    def unique_name(self, kind: str) -> str:
+        """Returns an id that no other incarnation or call returns."""
+        return f"{kind}.{self.own.name}.{self.own.start_id}.{self.next_id()}"
+
+    def distrust(self, router: incarnation.Incarnation) -> None:
+        """Avoids a router as a witness for a while."""
+        self._distrusted[router] = self.now_s + _DISTRUST_S
+
+    def choose_witness(self, grant_id: str) -> incarnation.Incarnation | None:
+        """Returns a witness for a grant, None if no router is reachable."""
+        excluded = frozenset(
+            r for r, until_s in self._distrusted.items() if until_s > self.now_s
+        )
+        return self.fleet.witness_for(grant_id, excluded)
+
+    def send(self, to: incarnation.Incarnation, msg: messages.Message) -> None:
+        """Sends a message."""
+        self.out.append(actions.Send(to, msg))
+
+    def emit(
+        self,
+        kind: str,
+        *,
+        request_id: str = "",
+        workspace: str = "",
+        grant_id: str = "",
+        **fields: str | int | float | bool,
+    ) -> None:
+        """Records a timeline event."""
+        self.out.append(
+            actions.Emit(kind, request_id, workspace, grant_id, fields)
+        )
+
+    def wake(self, key: str, at_s: float) -> None:
+        """Asks for a call of the role named `key` at `at_s` or earlier."""
+        known = self._wake_at.get(key)
+        if known is None or at_s < known:
+            self._wake_at[key] = at_s
+            heapq.heappush(self._wakes, (at_s, key))
+
+    def due(self) -> list[str]:
+        """Returns and clears the keys whose time has come."""
+        keys = []
+        while self._wakes and self._wakes[0][0] <= self.now_s:
+            at_s, key = heapq.heappop(self._wakes)
+            if self._wake_at.get(key) == at_s:
+                del self._wake_at[key]
+                keys.append(key)
+        return keys
+
+    def next_wake_s(self) -> float | None:
+        """Returns the earliest time that a role asked for."""
+        while self._wakes:
+            at_s, key = self._wakes[0]
+            if self._wake_at.get(key) == at_s:
+                return at_s
+            heapq.heappop(self._wakes)
+        return None
--- /dev/null
+++ b/hibiscuspass/core/budget/pending_ask.py
@@ -0,0 +1,39 @@
+"""An ask that the holder can't answer yet."""
+
+import enum
+
+import attrs
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import messages
+
+
+class AskStage(enum.Enum):
+    """What has been tried for an ask."""
+
+    # Waits for a draw or for a grant to become usable.
+    NEW = "new"
+    # Other holders have been asked to return what they don't use.
+    RECALLING = "recalling"
+    # They have answered, or had time to.
+    RECALLED = "recalled"
+
+
+@attrs.define
+class PendingAsk:
+    """An ask in the holder's queue.
+
+    Attributes:
+      sender: Router that asks.
+      msg: The ask.
+      fresh_after_s: Time after which the ledger must have been read before
+        the ask is refused.
+      deadline_s: Time at which the ask is refused in any case.
+      stage: What has been tried.
+    """
+
+    sender: incarnation.Incarnation
+    msg: messages.Ask
+    fresh_after_s: float
+    deadline_s: float
+    stage: AskStage = AskStage.NEW
--- /dev/null
+++ b/hibiscuspass/core/budget/recall.py
@@ -0,0 +1,38 @@
+"""Asks other holders to return what they don't use."""
+
+from collections.abc import Iterable
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node_context
+
+
+class Recall:
+    """One round of recall messages.
+
+    Attributes:
+      waiting: Holders that have not answered.
+      ends_at_s: Time at which the round ends in any case.
+    """
+
+    def __init__(
+        self,
+        ctx: node_context.NodeContext,
+        workspace: str,
+        holders: Iterable[incarnation.Incarnation],
+        amount: int,
+    ) -> None:
+        self._ctx = ctx
+        self.waiting = set(holders)
+        self.ends_at_s = ctx.now_s + ctx.timing.recall_wait_s
+        for holder in self.waiting:
+            ctx.send(
+                holder,
+                messages.RecallBudget(ctx.next_id(), holder, workspace, amount),
+            )
+        ctx.wake(workspace, self.ends_at_s)
+
+    @property
+    def done(self) -> bool:
+        """Whether all holders have answered or had time to."""
+        return not self.waiting or self._ctx.now_s >= self.ends_at_s
--- /dev/null
+++ b/hibiscuspass/core/budget/replica.py
@@ -0,0 +1,111 @@
+"""Copies a grant's permit table to its witness."""
+
+from collections.abc import Iterable
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node_context
+from hibiscuspass.core.budget import permit_row
+from hibiscuspass.core.budget import permit_table
+
+
+class Replica:
+    """Sends changed rows in order, one append in flight.
+
+    Rows that change while an append is in flight go into the next one, so the
+    number of messages doesn't grow with the load.
+
+    Attributes:
+      witness: Router that stores the copy.
+      tries: Unanswered sends of the append in flight.
+    """
+
+    def __init__(
+        self,
+        ctx: node_context.NodeContext,
+        workspace: str,
+        grant_id: str,
+        operation: str,
+        witness: incarnation.Incarnation,
+    ) -> None:
+        self._ctx = ctx
+        self._workspace = workspace
+        self._grant_id = grant_id
+        self._operation = operation
+        self._dirty: dict[str, permit_row.PermitRow] = {}
+        self._log_moved = False
+        self._sent: messages.AppendRows | None = None
+        self._sent_at_s = 0.0
+        self._sequence = 0
+        self.witness = witness
+        self.tries = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether the witness has everything."""
+        return self._sent is None and not self._dirty
+
+    def waits_for(self, request_id: str) -> bool:
+        """Whether the row of a request is not acknowledged yet."""
+        if request_id in self._dirty:
+            return True
+        return self._sent is not None and any(
+            r.request_id == request_id for r in self._sent.rows
+        )
+
+    def put(self, row: permit_row.PermitRow) -> None:
+        """Queues a changed row."""
+        self._dirty[row.request_id] = row
+
+    def put_all(self, rows: Iterable[permit_row.PermitRow]) -> None:
+        """Queues changed rows."""
+        self._dirty.update((r.request_id, r) for r in rows)
+
+    def note_log(self) -> None:
+        """Queues a change of the billing log's position."""
+        self._log_moved = True
+
+    def pump(self, table: permit_table.PermitTable) -> float | None:
+        """Sends what is due; returns the time of the next call."""
+        retry_s = self._ctx.timing.append_retry_s
+        if self._sent is None:
+            if not self._dirty and not self._log_moved:
+                return None
+            self._sequence += 1
+            self._sent = self._append(tuple(self._dirty.values()), table)
+            self._dirty.clear()
+            self._log_moved = False
+            self.tries = 0
+        elif self._ctx.now_s < self._sent_at_s + retry_s:
+            return self._sent_at_s + retry_s
+        self._sent_at_s = self._ctx.now_s
+        self.tries += 1
+        self._ctx.send(self.witness, self._sent)
+        return self._sent_at_s + retry_s
+
+    def on_appended(
+        self, msg: messages.RowsAppended
+    ) -> tuple[permit_row.PermitRow, ...]:
+        """Returns the rows that are acknowledged now."""
+        if self._sent is None or msg.sequence != self._sent.sequence:
+            return ()
+        rows, self._sent = self._sent.rows, None
+        self.tries = 0
+        return rows
+
+    def _append(
+        self,
+        rows: tuple[permit_row.PermitRow, ...],
+        table: permit_table.PermitTable,
+    ) -> messages.AppendRows:
+        return messages.AppendRows(
+            self._ctx.next_id(),
+            self.witness,
+            self._grant_id,
+            self._operation,
+            self._workspace,
+            self._sequence,
+            rows,
+            table.batches,
+            table.logged,
+        )
