Close holes of the budget protocol that random schedules found

Ruled out: bounds in time. Each fix is a rule on order or on what a decision may be based on: ended epochs stay sealed, budget is returned only against holds that the witness knows, a request that two grants may bill is claimed by a create-only key, and an unused retry makes an inherited permit orphaned again.

--- a/hibiscuspass/core/budget/ask_answers.py
+++ b/hibiscuspass/core/budget/ask_answers.py
@@ -125,11 +125,6 @@
     )
 
 
-def removed(row: permit_row.PermitRow) -> permit_row.PermitRow:
-    """Returns the row of a permit that won't be used."""
-    return attrs.evolve(row, state=permit_row.RowState.REMOVED)
-
-
 def with_backend(
     row: permit_row.PermitRow, backend: str
 ) -> permit_row.PermitRow:
--- a/hibiscuspass/core/budget/entry.py
+++ b/hibiscuspass/core/budget/entry.py
@@ -172,12 +172,17 @@
         self, sender: incarnation.Incarnation, msg: messages.PermitGranted
     ) -> None:
         """Hands a permit to its attempt, or returns it."""
-        attempt = self.attempts.pop(msg.attempt_id, None)
+        attempt = self.attempts.get(msg.attempt_id)
+        if attempt is not None and msg.ask_id != attempt.ask_id:
+            # Only the router that was asked last may provide the permit: the
+            # holders' billing relies on it (see `request_claims`).
+            return
         if attempt is None:
             use = self.uses.get(msg.attempt_id)
             if use is None or use.permit.grant_id != msg.grant_id:
                 self._void(sender, msg)
             return
+        del self.attempts[msg.attempt_id]
         permit = permit_lib.Permit(
             msg.request_id,
             msg.attempt_id,
@@ -286,6 +291,7 @@
             self._give_up(attempt)
             return
         req = attempt.req
+        contested = attempt.asked is not None
         attempt.asked = attempt.candidates.pop(0)
         attempt.ask_id = self._ctx.next_id()
         attempt.next_at_s = self._ctx.now_s + self._ctx.timing.ask_timeout_s
@@ -301,6 +307,7 @@
                 req.worst_case,
                 req.keyed,
                 req.model,
+                contested,
             ),
         )
 
--- a/hibiscuspass/core/budget/held_grant.py
+++ b/hibiscuspass/core/budget/held_grant.py
@@ -16,6 +16,7 @@
 from hibiscuspass.core.budget import permit_table
 from hibiscuspass.core.budget import proposal as proposal_lib
 from hibiscuspass.core.budget import replica as replica_lib
+from hibiscuspass.core.budget import request_claims
 from hibiscuspass.core.budget import settlement_notices
 
 _OPEN = permit_row.RowState.OPEN
@@ -41,6 +42,7 @@
       frozen: Whether the grant is being handed over.
       table: The permits.
       billing: The billing log.
+      claims: Claims of requests that other grants may bill as well.
       proposal: Change of witness on its way into the ledger.
       waiters: Asks that wait for the witness, by request id.
       used_at_s: Time of the latest permit.
@@ -73,6 +75,13 @@
             logged=self.table.logged,
             on_logged=self._on_logged,
         )
+        self.claims = request_claims.RequestClaims(
+            ctx,
+            workspace,
+            grant.id,
+            on_won=self._bill,
+            on_lost=self._release_claimed,
+        )
         self.proposal: proposal_lib.Proposal | None = None
         self.waiters: dict[
             str, list[tuple[incarnation.Incarnation, messages.Ask]]
@@ -95,6 +104,19 @@
         """Amount that new permits can hold."""
         return self.usable - self.table.settled - self.table.held
 
+    @property
+    def returnable(self) -> int:
+        """Amount that can go back to the ledger.
+
+        A router that takes the grant over starts from the witness's table, so
+        the remaining amount must cover the holds that the witness knows.
+        """
+        if self.proposal is not None or self.frozen:
+            return 0
+        if self._replica is not None and self._replica.lacks_release:
+            return 0
+        return max(0, self.room)
+
     @property
     def can_issue(self) -> bool:
         """Whether new permits can be issued now."""
@@ -124,6 +146,7 @@
             ask.worst_case,
             ask.keyed,
             ask.model,
+            contested=ask.contested,
         )
         self.wait_for(sender, ask)
         self.put(row)
@@ -137,7 +160,15 @@
         """Gives the permit of a router that is gone to a retry."""
         self.used_at_s = self._ctx.now_s
         self.wait_for(sender, ask)
-        self.put(attrs.evolve(row, attempt_id=ask.attempt_id, entry=sender))
+        self.put(
+            attrs.evolve(
+                row,
+                attempt_id=ask.attempt_id,
+                entry=sender,
+                former_entry=row.former_entry or row.entry,
+                former_attempt=row.former_attempt or row.attempt_id,
+            )
+        )
 
     def wait_for(
         self, sender: incarnation.Incarnation, ask: messages.Ask
@@ -174,7 +205,7 @@
     ) -> None:
         """Settles an open permit; cost 0 means that it was not used."""
         if cost <= 0:
-            self.put(attrs.evolve(row, state=_REMOVED))
+            self.release(row)
             self.notices.add(row.entry, row.attempt_id)
             return
         self.put(
@@ -183,6 +214,25 @@
             )
         )
 
+    def release(self, row: permit_row.PermitRow) -> None:
+        """Ends an open permit that its attempt has not used.
+
+        An attempt of a router that is gone may have run before, so its permit
+        becomes orphaned again.
+        """
+        if row.former_entry is None:
+            self.put(attrs.evolve(row, state=_REMOVED))
+            return
+        self.put(
+            attrs.evolve(
+                row,
+                entry=row.former_entry,
+                attempt_id=row.former_attempt,
+                former_entry=None,
+                former_attempt="",
+            )
+        )
+
     def forget(self, row: permit_row.PermitRow) -> None:
         """Removes a billed row whose retention has ended."""
         self.put(attrs.evolve(row, state=_REMOVED))
@@ -203,7 +253,11 @@
         """Sends what is due."""
         if self.frozen:
             return
-        wakes = [self._pump_replica(), self._pump_proposal()]
+        wakes = [
+            self._pump_replica(),
+            self._pump_proposal(),
+            self.claims.pump(),
+        ]
         closing = self.closing and self._quiet_but_log
         wakes.append(self.billing.pump(self.epoch, closing=closing))
         self.notices.flush()
@@ -323,19 +377,42 @@
         if self.table.rows.get(row.request_id) != row:
             return
         if row.state is _SETTLED:
-            self.billing.add(
-                billing_batch.BillingRecord(
-                    row.request_id,
-                    self.id,
-                    row.cost,
-                    row.kind,
-                    str(row.entry),
-                    row.model,
-                )
-            )
+            if request_claims.is_needed(row):
+                self.claims.add(row)
+            else:
+                self._bill(row)
         elif row.state is _OPEN:
             self._answer_waiters(row)
 
+    def _bill(self, row: permit_row.PermitRow) -> None:
+        if self.table.rows.get(row.request_id) != row:
+            return
+        self.billing.add(
+            billing_batch.BillingRecord(
+                row.request_id,
+                self.id,
+                row.cost,
+                row.kind,
+                str(row.entry),
+                row.model,
+            )
+        )
+
+    def _release_claimed(self, row: permit_row.PermitRow) -> None:
+        if self.table.rows.get(row.request_id) == row and not self.frozen:
+            self.put(attrs.evolve(row, state=_REMOVED))
+            self.notices.add(row.entry, row.attempt_id)
+
+    def contest(
+        self,
+        row: permit_row.PermitRow,
+        sender: incarnation.Incarnation,
+        ask: messages.Ask,
+    ) -> None:
+        """Records that the entry router has asked another router since."""
+        self.wait_for(sender, ask)
+        self.put(attrs.evolve(row, contested=True))
+
     def _answer_waiters(self, row: permit_row.PermitRow) -> None:
         for sender, ask in self.waiters.pop(row.request_id, ()):
             if ask.attempt_id == row.attempt_id and sender == row.entry:
--- a/hibiscuspass/core/budget/messages.py
+++ b/hibiscuspass/core/budget/messages.py
@@ -49,7 +49,11 @@
 
 @attrs.frozen
 class Ask(Request):
-    """Asks for a permit; see `permit.PermitRequest`."""
+    """Asks for a permit; see `permit.PermitRequest`.
+
+    `contested` tells that the attempt has asked another router before, which
+    may hold a permit for it as well.
+    """
 
     request_id: str
     attempt_id: str
@@ -57,6 +61,7 @@
     worst_case: int
     keyed: bool
     model: str
+    contested: bool = False
 
 
 @attrs.frozen
@@ -269,13 +274,13 @@
       grant_id: Grant to seal.
       operation: Operation of the epoch.
       workspace: Workspace of the grant.
-      epoch: The epoch.
+      holder: Holder in that epoch.
     """
 
     grant_id: str
     operation: str
     workspace: str
-    epoch: int
+    holder: incarnation.Incarnation
 
 
 @attrs.frozen
@@ -290,7 +295,7 @@
 
 @attrs.frozen
 class ForgetTable(Request):
-    """The epoch is over; the witness may discard its table."""
+    """The epoch is over; the witness doesn't need its table any more."""
 
     grant_id: str
     operation: str
--- a/hibiscuspass/core/budget/node.py
+++ b/hibiscuspass/core/budget/node.py
@@ -170,8 +170,11 @@
 
     def _watch_holders(self) -> None:
         """Takes over the grants of holders that have failed."""
+        self.witness.purge()
         waiting = any(
-            t.holder is None or not self.ctx.fleet.is_reachable(t.holder)
+            t.holder is not None
+            and not t.ended
+            and not self.ctx.fleet.is_reachable(t.holder)
             for t in self.witness.tables.values()
         )
         for grant_id, operation, table in self.witness.suspects():
@@ -197,13 +200,15 @@
             if grant is None or (
                 grant.operation != operation and grant.epoch >= known.epoch
             ):
-                self.witness.discard(grant_id, operation)
+                self.witness.end(grant_id, operation)
                 return
             if grant.operation != operation:
                 return
             if self.ctx.fleet.is_reachable(grant.holder):
                 return
-            table = self.witness.seal(grant_id, operation, workspace)
+            table = self.witness.seal(
+                grant_id, operation, workspace, grant.holder
+            )
             self._holder(workspace).start_takeover(grant, table)
 
         return check
@@ -328,7 +333,7 @@
         self._done(sender, msg)
 
     def _on_forget(self, sender: _Sender, msg: messages.ForgetTable) -> None:
-        self.witness.on_forget(msg)
+        self.witness.on_forget(sender, msg)
         self._done(sender, msg)
 
     def _on_witness_leaving(
--- a/hibiscuspass/core/budget/permit_row.py
+++ b/hibiscuspass/core/budget/permit_row.py
@@ -36,6 +36,9 @@
       backend: Backend server in use, or an empty string if unknown.
       cost: Actual cost once settled.
       kind: How the cost is known.
+      contested: Whether the entry router had asked another router before.
+      former_entry: Router that is gone and whose permit a retry took over.
+      former_attempt: Its attempt, which may have run.
     """
 
     request_id: str
@@ -48,3 +51,6 @@
     backend: str = ""
     cost: int = 0
     kind: permit_lib.CostKind = permit_lib.CostKind.REPORTED
+    contested: bool = False
+    former_entry: incarnation.Incarnation | None = None
+    former_attempt: str = ""
--- a/hibiscuspass/core/budget/recall.py
+++ b/hibiscuspass/core/budget/recall.py
@@ -25,7 +25,7 @@
         self._ctx = ctx
         self.waiting = set(holders)
         self.ends_at_s = ctx.now_s + ctx.timing.recall_wait_s
-        for holder in self.waiting:
+        for holder in sorted(self.waiting):
             ctx.send(
                 holder,
                 messages.RecallBudget(ctx.next_id(), holder, workspace, amount),
--- a/hibiscuspass/core/budget/replica.py
+++ b/hibiscuspass/core/budget/replica.py
@@ -1,6 +1,7 @@
 """Copies a grant's permit table to its witness."""
 
 from collections.abc import Iterable
+import itertools
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.budget import messages
@@ -45,6 +46,15 @@
         """Whether the witness has everything."""
         return self._sent is None and not self._dirty
 
+    @property
+    def lacks_release(self) -> bool:
+        """Whether the witness still counts a hold that has shrunk here."""
+        sent = () if self._sent is None else self._sent.rows
+        return any(
+            r.state is not permit_row.RowState.OPEN
+            for r in itertools.chain(self._dirty.values(), sent)
+        )
+
     def waits_for(self, request_id: str) -> bool:
         """Whether the row of a request is not acknowledged yet."""
         if request_id in self._dirty:
--- a/hibiscuspass/core/budget/reporter.py
+++ b/hibiscuspass/core/budget/reporter.py
@@ -88,7 +88,7 @@
         g.states.update(own)
         grants = () if g.ledger is None else g.ledger.grants.values()
         g.waiting = {x.holder for x in grants if x.holder != self._ctx.own}
-        for router in g.waiting:
+        for router in sorted(g.waiting):
             self._ctx.send(
                 router,
                 messages.GrantQuery(
--- a/hibiscuspass/core/budget/takeover.py
+++ b/hibiscuspass/core/budget/takeover.py
@@ -102,7 +102,7 @@
                 self.grant.id,
                 self.grant.operation,
                 self._workspace,
-                self.grant.epoch,
+                self.grant.holder,
             ),
         )
         return self._sent_at_s + retry_s
--- a/hibiscuspass/core/budget/witness.py
+++ b/hibiscuspass/core/budget/witness.py
@@ -19,6 +19,9 @@
       table: The permits.
       sequence: Number of the last append.
       sealed: Whether appends are refused for good.
+      ended: Whether the ledger has moved past the epoch. The entry stays, so
+        that a holder that was paused, or a repeated message, can't start the
+        epoch again; it is discarded once that holder is gone.
       suspected_at_s: Time since which the holder is suspected.
       warned_at_s: Time at which the holder was told of a planned stop.
     """
@@ -29,6 +32,7 @@
     table: permit_table.PermitTable
     sequence: int = 0
     sealed: bool = False
+    ended: bool = False
     suspected_at_s: float | None = None
     warned_at_s: float = float("-inf")
 
@@ -90,7 +94,9 @@
         self, sender: incarnation.Incarnation, msg: messages.SealEpoch
     ) -> None:
         """Seals an epoch and returns its table."""
-        table = self.seal(msg.grant_id, msg.operation, msg.workspace)
+        table = self.seal(
+            msg.grant_id, msg.operation, msg.workspace, msg.holder
+        )
         self._ctx.send(
             sender,
             messages.EpochSealed(
@@ -99,22 +105,51 @@
         )
 
     def seal(
-        self, grant_id: str, operation: str, workspace: str
+        self,
+        grant_id: str,
+        operation: str,
+        workspace: str,
+        holder: incarnation.Incarnation,
     ) -> permit_table.TableSnapshot | None:
         """Seals an epoch; returns None if its table is not known here."""
         known = self._find(grant_id, operation, workspace)
-        if known is None:
+        if known is None or known.ended:
             return None
+        known.holder = holder
         known.sealed = True
         return known.table.snapshot()
 
-    def on_forget(self, msg: messages.ForgetTable) -> None:
-        """Discards the table of an epoch that is over."""
-        self.tables.pop((msg.grant_id, msg.operation), None)
-
-    def discard(self, grant_id: str, operation: str) -> None:
-        """Discards a table that the ledger has moved past."""
-        self.tables.pop((grant_id, operation), None)
+    def on_forget(
+        self, sender: incarnation.Incarnation, msg: messages.ForgetTable
+    ) -> None:
+        """Takes in that an epoch is over."""
+        known = self.tables.get((msg.grant_id, msg.operation))
+        if known is not None and known.holder == sender:
+            # Its own holder won't append again.
+            del self.tables[msg.grant_id, msg.operation]
+        else:
+            self.end(msg.grant_id, msg.operation)
+
+    def end(self, grant_id: str, operation: str) -> None:
+        """Seals an epoch that the ledger has moved past; frees its rows."""
+        known = self.tables.get((grant_id, operation))
+        if known is None:
+            return
+        known.sealed = known.ended = True
+        known.table = permit_table.PermitTable()
+        self.purge()
+
+    def purge(self) -> None:
+        """Discards ended epochs whose holder is gone."""
+        over = [
+            key
+            for key, known in self.tables.items()
+            if known.ended
+            and known.holder is not None
+            and self._ctx.fleet.is_gone(known.holder)
+        ]
+        for key in over:
+            del self.tables[key]
 
     def suspects(
         self,
@@ -122,6 +157,8 @@
         """Returns the tables whose holder is due to be replaced."""
         due = []
         for (grant_id, operation), known in self.tables.items():
+            if known.ended:
+                continue
             if known.holder is None or self._ctx.fleet.is_reachable(
                 known.holder
             ):
--- a/hibiscuspass/core/budget/workspace_holder.py
+++ b/hibiscuspass/core/budget/workspace_holder.py
@@ -118,7 +118,7 @@
                 and row.entry == sender
                 and row.state is permit_row.RowState.OPEN
             ):
-                held.put(ask_answers.removed(row))
+                held.release(row)
         self._ctx.send(sender, messages.Done(msg.ask_id))
 
     def on_used(
@@ -200,6 +200,9 @@
                 self._absorb()
             return
         for held in self.grants.values():
+            if held.claims.owns(token):
+                held.claims.on_cas(token, result)  # type: ignore[arg-type]
+                return
             if held.billing.owns(token):
                 if is_write:
                     held.billing.on_cas(result)  # type: ignore[arg-type]
@@ -292,7 +295,11 @@
         if row.state is not permit_row.RowState.OPEN:
             self._ctx.send(ask.sender, ask_answers.attached(msg, row))
         elif row.attempt_id == msg.attempt_id:
-            if held.is_acknowledged(row.request_id):
+            if held.frozen:
+                return False
+            if msg.contested and not (row.contested or row.keyed):
+                held.contest(row, ask.sender, msg)
+            elif held.is_acknowledged(row.request_id):
                 self._ctx.send(ask.sender, held.granted(row, msg.ask_id))
             else:
                 held.wait_for(ask.sender, msg)
@@ -545,15 +552,13 @@
         return max(0, sum(wants.values()) - led.free)
 
     def _give_back(self, held: held_grant.HeldGrant, deficit: int) -> int:
-        if held.frozen or held.room <= 0:
-            return 0
         if held.closing:
-            return held.room if held.table.open_count else 0
+            return held.returnable if held.table.open_count else 0
         if deficit <= 0:
             return 0
         # Half of the room spares an early second recall.
         half = 0 if held.standing else held.room // 2
-        return min(held.room, max(deficit, half))
+        return min(held.returnable, max(deficit, half))
 
     def _draw(
         self,
@@ -657,6 +662,9 @@
         for g in present.values():
             if g.holder == self._ctx.own and g.id not in self.grants:
                 self._adopt(g)
+            elif self._ctx.fleet.is_gone(g.holder):
+                # The witness may not know yet that it is the witness.
+                self.start_takeover(g)
         for t in list(self.takeovers.values()):
             g_or_none = present.get(t.grant.id)
             if g_or_none is None or g_or_none.operation != t.grant.operation:
@@ -717,9 +725,22 @@
             self._ctx, held, inherited=g.operation != g.id
         )
 
+    def _forget_table(self, held: held_grant.HeldGrant) -> None:
+        if held.witness is not None:
+            self._ctx.send(
+                held.witness,
+                messages.ForgetTable(
+                    self._ctx.next_id(),
+                    held.witness,
+                    held.id,
+                    held.operation,
+                ),
+            )
+
     def _drop(self, held: held_grant.HeldGrant) -> None:
         del self.grants[held.id]
         del self._checks[held.id]
+        self._forget_table(held)
         self._ctx.emit(
             "grant.dropped", workspace=self.workspace, grant_id=held.id
         )
@@ -809,8 +830,8 @@
                 g.operation,
                 self._ctx.own,
                 g.amount,
-                g.table.settled,
-                g.table.held,
+                g.table.settled - g.claims.cost,
+                g.table.held + g.claims.cost,
                 g.table.open_count,
                 0,
                 live=True,
