Order ledger reads by call, not by time

Ruled out: a finer clock, because no safety rule may depend on clocks.

Conclusion: tokens of calls grow within a process and order them.

--- a/hibiscuspass/core/budget/ledger_port.py
+++ b/hibiscuspass/core/budget/ledger_port.py
@@ -20,6 +20,8 @@
       revision: Its revision; 0 if the key is absent.
       known: Whether the key has been read at all.
       read_at_s: Time at which the latest successful call was sent.
+      read_token: Token of that call. Tokens grow, so they order calls and
+        events also within one reading of the clock.
       retry_at_s: Earliest time of the next call.
       failing: Whether the latest call failed.
     """
@@ -30,6 +32,7 @@
         self._key = ledger_codec.key(workspace)
         self._token = 0
         self._sent_at_s = 0.0
+        self._sent_token = 0
         self._written: ledger_lib.Ledger | None = None
         # Expected revision of a write whose outcome is open.
         self._open_revision: int | None = None
@@ -38,6 +41,7 @@
         self.revision = 0
         self.known = False
         self.read_at_s = float("-inf")
+        self.read_token = 0
         self.retry_at_s = float("-inf")
         self.failing = False
 
@@ -115,6 +119,7 @@
 
     def _start(self) -> None:
         self._token = self._ctx.start_call(self._workspace)
+        self._sent_token = self._token
         self._sent_at_s = self._ctx.now_s
 
     def _learn(self, led: ledger_lib.Ledger | None, revision: int) -> None:
@@ -124,6 +129,7 @@
         self.revision = revision
         self.known = True
         self.read_at_s = self._sent_at_s
+        self.read_token = self._sent_token
         self.failing = False
 
     def _back_off(self) -> None:
--- a/hibiscuspass/core/budget/workspace_holder.py
+++ b/hibiscuspass/core/budget/workspace_holder.py
@@ -59,9 +59,9 @@
         self._checks: dict[str, permit_checks.PermitChecks] = {}
         self._recall: recall_lib.Recall | None = None
         self._recallers: list[
-            tuple[float, incarnation.Incarnation, messages.RecallBudget]
+            tuple[int, incarnation.Incarnation, messages.RecallBudget]
         ] = []
-        self._on_ledger: list[tuple[float, _OnLedger]] = []
+        self._on_ledger: list[tuple[int, _OnLedger]] = []
         self._want = 0
         self._want_until_s = 0.0
         self._next_poll_s = 0.0
@@ -91,7 +91,7 @@
         self, sender: incarnation.Incarnation, msg: messages.RecallBudget
     ) -> None:
         """Returns what is not used and answers afterwards."""
-        self._recallers.append((self._ctx.now_s, sender, msg))
+        self._recallers.append((self._ctx.next_id(), sender, msg))
 
     def on_settle(
         self, sender: incarnation.Incarnation, msg: messages.SettlePermit
@@ -234,7 +234,7 @@
 
     def on_ledger(self, call: _OnLedger) -> None:
         """Calls back once the ledger has been read after this moment."""
-        self._on_ledger.append((self._ctx.now_s, call))
+        self._on_ledger.append((self._ctx.next_id(), call))
 
     def pump(self) -> None:
         """Does whatever has become possible."""
@@ -467,11 +467,12 @@
 
     def _wants_read(self) -> bool:
         read_at_s = self.port.read_at_s
+        token = self.port.read_token
         if any(read_at_s < a.fresh_after_s for a in self.pending):
             return True
-        if any(read_at_s < at_s for at_s, _ in self._on_ledger):
+        if any(token < after for after, _ in self._on_ledger):
             return True
-        if any(read_at_s < at_s for at_s, _, _ in self._recallers):
+        if any(token < after for after, _, _ in self._recallers):
             return True
         if self.port.undecided:
             return True
@@ -751,17 +752,16 @@
 
     def _conclude(self) -> None:
         port = self.port
-        for at_s, sender, msg in self._recallers:
-            if port.read_at_s >= at_s:
+        token = port.read_token
+        for after, sender, msg in self._recallers:
+            if token > after:
                 self._ctx.send(
                     sender,
                     messages.BudgetRecalled(msg.ask_id, self.workspace),
                 )
-        self._recallers = [r for r in self._recallers if port.read_at_s < r[0]]
-        due = [c for at_s, c in self._on_ledger if port.read_at_s >= at_s]
-        self._on_ledger = [
-            (at_s, c) for at_s, c in self._on_ledger if port.read_at_s < at_s
-        ]
+        self._recallers = [r for r in self._recallers if token < r[0]]
+        due = [call for after, call in self._on_ledger if token > after]
+        self._on_ledger = [x for x in self._on_ledger if token < x[0]]
         for call in due:
             call(port)
         for ask in list(self.pending):
