Add membership and its runtime

Cause: routing and budgets need one view of routers and backend servers that takes the first sign of leaving from any source, within 3 s. Ruled out: clearing a mark at the first contrary report; a time to live on marks of engines; suspicion after a single failed probe. A first version also left a healed router suspected in a fleet of 60, because routers that had failed to reach it no longer heartbeated it; the test of recovery shows this. Before: no implementation. After: 44 tests on a virtual clock with delay, loss, cuts and restarts for 2, 6, 9 and 60 routers, all pass.

--- /dev/null
+++ b/hibiscuspass/core/membership/config.py
@@ -0,0 +1,53 @@
+"""Settings of membership."""
+
+import attrs
+
+
+@attrs.frozen
+class MembershipConfig:
+    """Timing and bounds of membership.
+
+    With the defaults a leaving mark crosses one link in one round trip, or in
+    at most `heartbeat_interval_s + 2 * heartbeat_timeout_s` (1.8 s) when the
+    first push on the link is lost.
+
+    Attributes:
+      heartbeat_interval_s: Time between heartbeat rounds in seconds.
+      heartbeat_timeout_s: Time limit of one heartbeat in seconds.
+      list_interval_s: Time between reads of the VM list in seconds, for lists
+        of up to `list_vms_per_interval` VMs. It grows with the size of the
+        list, so that the bytes per second stay the same; the reads of the
+        routers are spread, and the first one to see a sign shares it.
+      list_vms_per_interval: Size of the list above which reads become rarer.
+      list_timeout_s: Time limit of one read in seconds.
+      suspect_after_s: Silence after which a router is suspected, in seconds.
+      max_neighbours: Routers that one router sends urgent news to. Up to this
+        number of other routers, each router heartbeats all of them.
+      max_heartbeats: Heartbeats per round in larger fleets.
+      max_records: Member records per heartbeat.
+      mark_refresh_s: A sign that is seen again renews its mark after this time,
+        in seconds.
+      clear_after_s: Contrary evidence must last this long to clear a mark, in
+        seconds; larger than the lag of load reports.
+      service_hold_s: Time after which an observed mark of a plain service ends,
+        in seconds. Services send no load reports, so that only a new request
+        can show that they serve again.
+      drop_after_reads: Reads of the list without a VM that make it gone.
+      retention_s: Time for which gone routers and marks of unlisted backend
+        servers are kept, in seconds.
+    """
+
+    heartbeat_interval_s: float = 1.0
+    heartbeat_timeout_s: float = 0.4
+    list_interval_s: float = 1.0
+    list_vms_per_interval: int = 25
+    list_timeout_s: float = 0.8
+    suspect_after_s: float = 3.0
+    max_neighbours: int = 9
+    max_heartbeats: int = 4
+    max_records: int = 12
+    mark_refresh_s: float = 3.0
+    clear_after_s: float = 10.0
+    service_hold_s: float = 60.0
+    drop_after_reads: int = 2
+    retention_s: float = 3600.0
--- /dev/null
+++ b/hibiscuspass/core/membership/marks.py
@@ -0,0 +1,183 @@
+"""Leaving marks of backend servers, shared between routers."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+import xxhash
+
+from hibiscuspass.backends import vm_list
+from hibiscuspass.core.membership import config
+from hibiscuspass.core.membership import messages
+
+# Bounds the memory that marks of unlisted backend servers can take.
+_MAX_MARKS = 20_000
+# Marks that each heartbeat carries. A peer that lacks others asks for all of
+# them, because its digest differs.
+_RECENT_S = 2.0
+_MAX_RECENT = 50
+
+_Key = tuple[str, messages.MarkSource]
+
+
+@attrs.define
+class _Entry:
+    mark: messages.BackendMark
+    # Time of the last change or renewal from any router.
+    changed_s: float
+    # Start of uninterrupted contrary evidence at this router.
+    contrary_s: float | None = None
+    unlisted_s: float | None = None
+
+
+class MarkTable:
+    """Marks by backend server and source.
+
+    A mark is a register with a version: a sign of leaving raises the version,
+    and so does clearing it after lasting contrary evidence. A renewed sign at
+    any router restarts the wait of all routers that see contrary evidence.
+    """
+
+    def __init__(self, cfg: config.MembershipConfig) -> None:
+        self._cfg = cfg
+        self._entries: dict[_Key, _Entry] = {}
+        self._listed: Mapping[str, vm_list.Vm] = {}
+        # Digest of the shared marks, None after a change.
+        self._digest: int | None = None
+
+    def is_leaving(self, backend: str) -> bool:
+        """Returns whether any source says that it is leaving."""
+        entries = (self._entries.get((backend, s)) for s in messages.MarkSource)
+        return any(e is not None and e.mark.leaving for e in entries)
+
+    def observe(
+        self,
+        backend: str,
+        source: messages.MarkSource,
+        leaving: bool,
+        now_s: float,
+    ) -> messages.BackendMark | None:
+        """Takes in own evidence; returns the mark if it changed."""
+        entry = self._entries.get((backend, source))
+        if leaving:
+            if entry is not None and entry.mark.leaving:
+                entry.contrary_s = None
+                if now_s - entry.changed_s < self._cfg.mark_refresh_s:
+                    return None
+            return self._write(backend, source, True, now_s)
+        if entry is None or not entry.mark.leaving:
+            return None
+        if entry.contrary_s is None:
+            entry.contrary_s = now_s
+        since_s = max(entry.contrary_s, entry.changed_s)
+        if now_s - since_s < self._cfg.clear_after_s:
+            return None
+        return self._write(backend, source, False, now_s)
+
+    def merge(
+        self, marks: Iterable[messages.BackendMark], now_s: float
+    ) -> tuple[messages.BackendMark, ...]:
+        """Takes in marks of a peer; returns those that were new."""
+        new = []
+        for mark in marks:
+            key = (mark.backend, mark.source)
+            entry = self._entries.get(key)
+            if entry is not None and not _is_newer(mark, entry.mark):
+                continue
+            if entry is None and len(self._entries) >= _MAX_MARKS:
+                continue
+            self._put(mark, now_s)
+            new.append(mark)
+        return tuple(new)
+
+    def on_list(
+        self, listed: Mapping[str, vm_list.Vm], now_s: float
+    ) -> tuple[messages.BackendMark, ...]:
+        """Takes in the listed backend servers; returns changed marks."""
+        self._listed = listed
+        self._digest = None
+        changed = [
+            self.observe(
+                vm.name,
+                messages.MarkSource.LIST,
+                vm.state is vm_list.VmState.LEAVING,
+                now_s,
+            )
+            for vm in listed.values()
+        ]
+        self._drop_unlisted(now_s)
+        return tuple(m for m in changed if m is not None)
+
+    def expire(self, now_s: float) -> tuple[messages.BackendMark, ...]:
+        """Ends old observed marks of plain services."""
+        old = [
+            e.mark.backend
+            for (backend, source), e in self._entries.items()
+            if source is messages.MarkSource.OBSERVED
+            and e.mark.leaving
+            and now_s - e.changed_s >= self._cfg.service_hold_s
+            and backend in self._listed
+            and self._listed[backend].role is vm_list.VmRole.SERVICE
+        ]
+        source = messages.MarkSource.OBSERVED
+        return tuple(self._write(b, source, False, now_s) for b in old)
+
+    def shared(self) -> tuple[messages.BackendMark, ...]:
+        """Returns the marks of listed backend servers."""
+        return tuple(
+            e.mark
+            for (backend, _), e in self._entries.items()
+            if backend in self._listed
+        )
+
+    def recent(self, now_s: float) -> tuple[messages.BackendMark, ...]:
+        """Returns the marks that changed a short time ago."""
+        return tuple(
+            e.mark
+            for e in self._entries.values()
+            if now_s - e.changed_s < _RECENT_S
+        )[-_MAX_RECENT:]
+
+    def digest(self) -> int:
+        """Returns a digest of the shared marks that ignores their order."""
+        if self._digest is None:
+            self._digest = 0
+            for m in self.shared():
+                text = (
+                    f"{m.backend}\0{m.source.value}\0{m.version}\0{m.leaving}"
+                )
+                self._digest ^= xxhash.xxh64_intdigest(text.encode())
+        return self._digest
+
+    def _write(
+        self,
+        backend: str,
+        source: messages.MarkSource,
+        leaving: bool,
+        now_s: float,
+    ) -> messages.BackendMark:
+        entry = self._entries.get((backend, source))
+        version = entry.mark.version + 1 if entry else 1
+        mark = messages.BackendMark(backend, source, version, leaving)
+        self._put(mark, now_s)
+        return mark
+
+    def _put(self, mark: messages.BackendMark, now_s: float) -> None:
+        self._entries[mark.backend, mark.source] = _Entry(mark, now_s)
+        self._digest = None
+
+    def _drop_unlisted(self, now_s: float) -> None:
+        for key, entry in list(self._entries.items()):
+            if key[0] in self._listed:
+                entry.unlisted_s = None
+            elif entry.unlisted_s is None:
+                entry.unlisted_s = now_s
+            elif now_s - entry.unlisted_s > self._cfg.retention_s:
+                del self._entries[key]
+
+
+def _is_newer(
+    mark: messages.BackendMark, current: messages.BackendMark
+) -> bool:
+    # At the same version the safe value wins on every router.
+    return (mark.version, mark.leaving) > (current.version, current.leaving)
--- /dev/null
+++ b/hibiscuspass/core/membership/members.py
@@ -0,0 +1,265 @@
+"""Routers known to one process."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscuspass.core import incarnation as incarnation_lib
+from hibiscuspass.core.membership import config
+from hibiscuspass.core.membership import fleet_view
+from hibiscuspass.core.membership import messages
+
+# Failed heartbeats in a row before a router is suspected, and the time without
+# a further attempt after which failures carry no information.
+_MIN_FAILURES = 3
+_FAILURE_MEMORY_S = 10.0
+# A suspicion that others refute is spread again at most this often. Otherwise
+# one broken link between two live routers would keep the whole fleet busy.
+_ACCUSE_INTERVAL_S = 30.0
+# Bounds the memory of gone incarnations; several days of restarts.
+_MAX_GONE = 2000
+
+
+@attrs.define
+class _Member:
+    record: messages.MemberRecord
+    # Last sign of life received directly from the router.
+    heard_s: float
+    # Own heartbeats that failed in a row: number, first and last time.
+    failures: int = 0
+    first_failure_s: float = float("-inf")
+    last_failure_s: float = float("-inf")
+    accused_s: float = float("-inf")
+
+    def fails(self, suspect_after_s: float, now_s: float) -> bool:
+        """Returns whether own heartbeats have failed for long enough."""
+        silent_s = self.last_failure_s - max(self.first_failure_s, self.heard_s)
+        return (
+            self.failures >= _MIN_FAILURES
+            and silent_s >= suspect_after_s
+            and now_s - self.last_failure_s <= _FAILURE_MEMORY_S
+        )
+
+
+@attrs.frozen
+class _Gone:
+    record: messages.MemberRecord
+    since_s: float
+    # Replaced by a newer incarnation, which is final. Otherwise the VM is not
+    # listed any more, and a VM that is listed again may return.
+    replaced: bool
+
+
+class MemberTable:
+    """One current incarnation per name, and the gone ones.
+
+    A later heartbeat counter of the same incarnation replaces an earlier one;
+    at the same counter a suspicion wins, as in SWIM (Das et al., 2002).
+    """
+
+    def __init__(self, cfg: config.MembershipConfig, own_name: str) -> None:
+        self._cfg = cfg
+        self._own_name = own_name
+        self._members: dict[str, _Member] = {}
+        self._gone: dict[incarnation_lib.Incarnation, _Gone] = {}
+
+    def records(self) -> tuple[messages.MemberRecord, ...]:
+        """Returns the records of all routers that are not gone."""
+        return tuple(m.record for m in self._members.values())
+
+    def record(self, name: str) -> messages.MemberRecord | None:
+        """Returns the record of the current incarnation of a name."""
+        member = self._members.get(name)
+        return member.record if member else None
+
+    def replaced(self) -> tuple[incarnation_lib.Incarnation, ...]:
+        """Returns the incarnations that were replaced by newer ones."""
+        return tuple(i for i, g in self._gone.items() if g.replaced)
+
+    def is_suspected(self, name: str, now_s: float) -> bool:
+        """Returns whether a router is silent here or by hearsay."""
+        member = self._members[name]
+        return member.record.suspected or member.fails(
+            self._cfg.suspect_after_s, now_s
+        )
+
+    def on_direct(
+        self, record: messages.MemberRecord, now_s: float, *, is_reply: bool
+    ) -> bool:
+        """Takes in a router's own record; returns whether it is news.
+
+        A reply to an own heartbeat comes from a process that runs now, so it
+        replaces any other incarnation of its name. A request may have been
+        delayed; there the start time decides.
+        """
+        name = record.incarnation.name
+        if name == self._own_name or record.incarnation in self._gone:
+            return False
+        member = self._members.get(name)
+        if member is None:
+            self._members[name] = _Member(record, now_s)
+            return True
+        old = member.record
+        if old.incarnation != record.incarnation:
+            if not is_reply and record.started_ms <= old.started_ms:
+                return False
+            self._replace(old, record, now_s)
+            return True
+        member.heard_s = now_s
+        if is_reply:
+            member.failures = 0
+        return self._update(member, record)
+
+    def on_hearsay(
+        self, records: Iterable[messages.MemberRecord], now_s: float
+    ) -> tuple[messages.MemberRecord, ...]:
+        """Takes in records passed on by a peer; returns the news."""
+        news = []
+        for record in records:
+            name = record.incarnation.name
+            if name == self._own_name or record.incarnation in self._gone:
+                continue
+            member = self._members.get(name)
+            if member is None:
+                self._members[name] = _Member(record, now_s)
+            elif member.record.incarnation != record.incarnation:
+                if record.started_ms <= member.record.started_ms:
+                    continue
+                self._replace(member.record, record, now_s)
+            elif not self._update(member, record):
+                continue
+            news.append(record)
+        return tuple(news)
+
+    def on_replaced(
+        self, gone: Iterable[incarnation_lib.Incarnation], now_s: float
+    ) -> tuple[incarnation_lib.Incarnation, ...]:
+        """Takes in incarnations that were replaced; returns new ones."""
+        news = []
+        for inc in gone:
+            known = self._gone.get(inc)
+            if known is not None and known.replaced:
+                continue
+            member = self._members.get(inc.name)
+            if member is not None and member.record.incarnation == inc:
+                record = member.record
+                del self._members[inc.name]
+            elif known is not None:
+                record = known.record
+            else:
+                record = messages.MemberRecord(inc, "", "", "")
+            self._gone[inc] = _Gone(record, now_s, replaced=True)
+            news.append(inc)
+        return tuple(news)
+
+    def on_no_answer(
+        self, name: str, now_s: float
+    ) -> messages.MemberRecord | None:
+        """Records a failed heartbeat; returns a new suspicion."""
+        member = self._members.get(name)
+        if member is None:
+            return None
+        if not member.failures or (
+            now_s - member.last_failure_s > _FAILURE_MEMORY_S
+        ):
+            member.failures = 0
+            member.first_failure_s = now_s
+        member.failures += 1
+        member.last_failure_s = now_s
+        if (
+            member.record.suspected
+            or not member.fails(self._cfg.suspect_after_s, now_s)
+            or now_s - member.accused_s < _ACCUSE_INTERVAL_S
+        ):
+            return None
+        member.accused_s = now_s
+        member.record = attrs.evolve(member.record, suspected=True)
+        return member.record
+
+    def on_unlisted(self, name: str, now_s: float) -> None:
+        """Records that the platform dropped a listed VM."""
+        member = self._members.pop(name, None)
+        if member is not None:
+            self._gone[member.record.incarnation] = _Gone(
+                member.record, now_s, replaced=False
+            )
+
+    def on_listed_again(self, name: str) -> None:
+        """Lets the last incarnation of a VM that is listed again return."""
+        for inc, gone in list(self._gone.items()):
+            if inc.name == name and not gone.replaced:
+                del self._gone[inc]
+
+    def expire(self, now_s: float) -> None:
+        """Forgets what has been gone for longer than the retention time."""
+        for inc, gone in list(self._gone.items()):
+            if now_s - gone.since_s > self._cfg.retention_s:
+                del self._gone[inc]
+        for inc in list(self._gone)[:-_MAX_GONE]:
+            del self._gone[inc]
+
+    def routers(
+        self, leaving: frozenset[str], now_s: float
+    ) -> tuple[fleet_view.RouterMember, ...]:
+        """Returns all routers but this one.
+
+        Args:
+          leaving: Names of routers that the platform lists as leaving.
+          now_s: Current time in seconds.
+        """
+        current = [
+            _to_view(m.record, self._state(m.record, leaving, now_s))
+            for m in self._members.values()
+        ]
+        gone = [
+            _to_view(g.record, fleet_view.MemberState.GONE)
+            for g in self._gone.values()
+        ]
+        return (*current, *gone)
+
+    def _state(
+        self,
+        record: messages.MemberRecord,
+        leaving: frozenset[str],
+        now_s: float,
+    ) -> fleet_view.MemberState:
+        name = record.incarnation.name
+        if self.is_suspected(name, now_s):
+            return fleet_view.MemberState.SUSPECTED
+        if record.leaving or name in leaving:
+            return fleet_view.MemberState.LEAVING
+        return fleet_view.MemberState.LIVE
+
+    def _replace(
+        self,
+        old: messages.MemberRecord,
+        new: messages.MemberRecord,
+        now_s: float,
+    ) -> None:
+        self._gone[old.incarnation] = _Gone(old, now_s, replaced=True)
+        self._members[new.incarnation.name] = _Member(new, now_s)
+
+    def _update(self, member: _Member, new: messages.MemberRecord) -> bool:
+        """Applies a record of the same incarnation; returns if it is news."""
+        old = member.record
+        leaving = old.leaving or new.leaving
+        if (new.counter, new.suspected) > (old.counter, old.suspected):
+            member.record = attrs.evolve(new, leaving=leaving)
+        elif leaving != old.leaving:
+            member.record = attrs.evolve(old, leaving=leaving)
+        return (old.suspected, old.leaving) != (
+            member.record.suspected,
+            member.record.leaving,
+        )
+
+
+def _to_view(
+    record: messages.MemberRecord, state: fleet_view.MemberState
+) -> fleet_view.RouterMember:
+    return fleet_view.RouterMember(
+        incarnation=record.incarnation,
+        peer_address=record.peer_address,
+        failure_domain=record.failure_domain,
+        region=record.region,
+        state=state,
+    )
--- /dev/null
+++ b/hibiscuspass/core/membership/tracker.py
@@ -0,0 +1,344 @@
+"""Joins the platform's list, heartbeats and observations."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import random
+
+import attrs
+
+from hibiscuspass.backends import vm_list
+from hibiscuspass.core import incarnation as incarnation_lib
+from hibiscuspass.core.membership import config
+from hibiscuspass.core.membership import fleet_view
+from hibiscuspass.core.membership import marks
+from hibiscuspass.core.membership import members
+from hibiscuspass.core.membership import messages
+from hibiscuspass.core.membership import neighbours
+
+# News is passed on in this many heartbeats; with 4 heartbeats per round this
+# covers 390 routers with a wide margin.
+_NEWS_REPEATS = 24
+
+
+@attrs.frozen
+class Target:
+    """A router to heartbeat; the name is empty for a seed address."""
+
+    name: str
+    address: str
+
+
+class Tracker:
+    """Membership of one process, without I/O.
+
+    Times are seconds of a monotonic clock.
+    """
+
+    def __init__(
+        self,
+        cfg: config.MembershipConfig,
+        own: messages.MemberRecord,
+        rng: random.Random,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self._cfg = cfg
+        self._own = own
+        self._rng = rng
+        self._seeds = tuple(seeds)
+        self._marks = marks.MarkTable(cfg)
+        self._members = members.MemberTable(cfg, own.incarnation.name)
+        self._listed: dict[str, vm_list.Vm] = {}
+        # Reads of the list in a row that lacked a VM.
+        self._missing: dict[str, tuple[vm_list.Vm, int]] = {}
+        self._news: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._news_gone: dict[incarnation_lib.Incarnation, int] = {}
+        self._urgent = False
+        self._changed = True
+        # The backends of the last view, None after a change.
+        self._backends: tuple[fleet_view.BackendMember, ...] | None = None
+
+    @property
+    def own(self) -> messages.MemberRecord:
+        """This process's record."""
+        return self._own
+
+    @property
+    def listed_vms(self) -> int:
+        """Number of VMs in the last list."""
+        return len(self._listed)
+
+    def take_urgent(self) -> bool:
+        """Returns whether news must be pushed now, and resets the flag."""
+        urgent, self._urgent = self._urgent, False
+        return urgent
+
+    def take_changed(self) -> bool:
+        """Returns whether the view may have changed; resets the flag."""
+        changed, self._changed = self._changed, False
+        return changed
+
+    def on_vm_list(self, vms: Sequence[vm_list.Vm], now_s: float) -> None:
+        """Takes in a successful read of the VM list."""
+        new = {vm.name: vm for vm in vms}
+        for name in new:
+            if name in self._missing:
+                del self._missing[name]
+            if name not in self._listed:
+                self._members.on_listed_again(name)
+        for name, vm in self._listed.items():
+            if name not in new:
+                self._missing.setdefault(name, (vm, 0))
+        for name, (vm, reads) in list(self._missing.items()):
+            if reads + 1 < self._cfg.drop_after_reads:
+                self._missing[name] = (vm, reads + 1)
+                continue
+            del self._missing[name]
+            self._members.on_unlisted(name, now_s)
+        self._listed = new
+        self._backends = None
+        self._changed = True
+        backends = {
+            n: vm
+            for n, vm in new.items()
+            if vm.role is not vm_list.VmRole.ROUTER
+        }
+        if self._marks.on_list(backends, now_s):
+            self._on_marks()
+
+    def on_heartbeat(
+        self, msg: messages.Heartbeat, now_s: float, *, is_reply: bool
+    ) -> None:
+        """Takes in a heartbeat or the reply to an own one."""
+        if self._members.on_direct(msg.sender, now_s, is_reply=is_reply):
+            self._spread(msg.sender)
+        for record in msg.members:
+            if record.incarnation == self._own.incarnation:
+                self._refute(record)
+        for record in self._members.on_hearsay(msg.members, now_s):
+            self._spread(record)
+        own = self._own.incarnation
+        for inc in self._members.on_replaced(
+            (i for i in msg.gone if i != own), now_s
+        ):
+            self._news_gone[inc] = _NEWS_REPEATS
+            self._changed = True
+        if self._marks.merge(msg.marks, now_s):
+            self._on_marks()
+
+    def needs_exchange(self, reply: messages.Heartbeat) -> bool:
+        """Returns whether a peer lacks marks after its reply was taken in."""
+        return reply.marks_digest != self._marks.digest()
+
+    def on_no_answer(self, name: str, now_s: float) -> None:
+        """Records that a heartbeat to a router failed."""
+        suspicion = self._members.on_no_answer(name, now_s)
+        if suspicion is not None:
+            self._spread(suspicion)
+
+    def report_backend(self, name: str, draining: bool, now_s: float) -> None:
+        """Records what the request path saw of a backend server."""
+        source = messages.MarkSource.OBSERVED
+        if self._marks.observe(name, source, draining, now_s) is not None:
+            self._on_marks()
+
+    def set_leaving(self) -> None:
+        """Records that this process is stopping."""
+        self._own = attrs.evolve(self._own, leaving=True)
+        self._urgent = True
+        self._changed = True
+
+    def start_round(self, now_s: float) -> tuple[Target, ...]:
+        """Starts a heartbeat round; returns the routers to heartbeat."""
+        self._own = attrs.evolve(self._own, counter=self._own.counter + 1)
+        self._members.expire(now_s)
+        # Suspicions begin and end with time.
+        self._changed = True
+        if self._marks.expire(now_s):
+            self._on_marks()
+        addresses = self._addresses()
+        near = self._neighbours(addresses)
+        if (
+            len(near) > self._cfg.max_heartbeats
+            and len(addresses) > self._cfg.max_neighbours
+        ):
+            # The two successors are watched in each round, the others in turn.
+            turn = self._own.counter
+            rest = near[2:]
+            extra = max(0, self._cfg.max_heartbeats - 3)
+            picked = [rest[(turn + i) % len(rest)] for i in range(extra)]
+            near = (*near[:2], *picked)
+        return (*near, *self._probe(near, addresses))
+
+    def neighbours(self) -> tuple[Target, ...]:
+        """Returns the routers that urgent news is sent to."""
+        return self._neighbours(self._addresses())
+
+    def message(
+        self,
+        now_s: float,
+        *,
+        first_contact: bool = False,
+        all_marks: bool = False,
+    ) -> messages.Heartbeat:
+        """Returns the heartbeat to send now."""
+        return messages.Heartbeat(
+            sender=self._own,
+            marks_digest=self._marks.digest(),
+            marks=self._marks.shared()
+            if all_marks
+            else self._marks.recent(now_s),
+            members=self._take_records(),
+            gone=self._take_gone(),
+            first_contact=first_contact,
+        )
+
+    def reply(
+        self, msg: messages.Heartbeat, now_s: float
+    ) -> messages.Heartbeat:
+        """Returns the reply to a heartbeat that was taken in."""
+        reply = self.message(
+            now_s, all_marks=msg.marks_digest != self._marks.digest()
+        )
+        if not msg.first_contact:
+            return reply
+        return attrs.evolve(
+            reply,
+            members=self._members.records(),
+            gone=self._members.replaced(),
+        )
+
+    def knows(self, name: str) -> bool:
+        """Returns whether a router was heard of."""
+        return self._members.record(name) is not None
+
+    def view(self, now_s: float) -> fleet_view.FleetView:
+        """Returns the fleet as this process sees it."""
+        leaving = frozenset(
+            vm.name
+            for vm in self._listed.values()
+            if vm.state is vm_list.VmState.LEAVING
+        )
+        own = self._own
+        is_leaving = own.leaving or own.incarnation.name in leaving
+        own_view = fleet_view.RouterMember(
+            incarnation=own.incarnation,
+            peer_address=own.peer_address,
+            failure_domain=own.failure_domain,
+            region=own.region,
+            state=fleet_view.MemberState.LEAVING
+            if is_leaving
+            else fleet_view.MemberState.LIVE,
+        )
+        routers = (own_view, *self._members.routers(leaving, now_s))
+        if self._backends is None:
+            self._backends = self._join_backends()
+        return fleet_view.FleetView(
+            routers=tuple(
+                sorted(
+                    routers,
+                    key=lambda r: (r.incarnation.name, r.incarnation.start_id),
+                )
+            ),
+            backends=self._backends,
+        )
+
+    def _on_marks(self) -> None:
+        self._urgent = True
+        self._changed = True
+        self._backends = None
+
+    def _join_backends(self) -> tuple[fleet_view.BackendMember, ...]:
+        listed = [
+            fleet_view.BackendMember(vm, not self._marks.is_leaving(vm.name))
+            for vm in self._listed.values()
+            if vm.role is not vm_list.VmRole.ROUTER
+        ]
+        missing = [
+            fleet_view.BackendMember(vm, False)
+            for vm, _ in self._missing.values()
+            if vm.role is not vm_list.VmRole.ROUTER
+        ]
+        return tuple(sorted([*listed, *missing], key=lambda b: b.vm.name))
+
+    def _addresses(self) -> dict[str, str]:
+        """Returns the peer addresses of all other routers, heard or listed."""
+        addresses = {
+            vm.name: vm.address
+            for vm in self._listed.values()
+            if vm.role is vm_list.VmRole.ROUTER
+        }
+        for record in self._members.records():
+            addresses[record.incarnation.name] = record.peer_address
+        addresses.pop(self._own.incarnation.name, None)
+        return addresses
+
+    def _neighbours(self, addresses: Mapping[str, str]) -> tuple[Target, ...]:
+        large = len(addresses) > self._cfg.max_neighbours
+        # In a small fleet suspected routers are heartbeated as well.
+        names = neighbours.ring_neighbours(
+            self._own.incarnation.name,
+            [n for n in addresses if not large or not self._is_accused(n)],
+            self._cfg.max_neighbours,
+        )
+        return tuple(Target(n, addresses[n]) for n in names)
+
+    def _is_accused(self, name: str) -> bool:
+        record = self._members.record(name)
+        return record is not None and record.suspected
+
+    def _probe(
+        self, near: Iterable[Target], addresses: Mapping[str, str]
+    ) -> tuple[Target, ...]:
+        """Returns one further router, so that healed links are noticed."""
+        skip = {t.name for t in near}
+        others = [Target(n, a) for n, a in addresses.items() if n not in skip]
+        known = {t.address for t in [*near, *others]}
+        others += [
+            Target("", a)
+            for a in self._seeds
+            if a not in known and a != self._own.peer_address
+        ]
+        return (self._rng.choice(others),) if others else ()
+
+    def _refute(self, record: messages.MemberRecord) -> None:
+        if record.suspected and record.counter >= self._own.counter:
+            self._own = attrs.evolve(self._own, counter=record.counter + 1)
+        if record.suspected:
+            self._spread(self._own)
+
+    def _spread(self, record: messages.MemberRecord) -> None:
+        self._changed = True
+        self._news[record.incarnation.name] = _NEWS_REPEATS
+        self._news.move_to_end(record.incarnation.name, last=False)
+        if record.leaving:
+            self._urgent = True
+
+    def _take_records(self) -> tuple[messages.MemberRecord, ...]:
+        """Returns news first, then random records."""
+        names = list(self._news)[: self._cfg.max_records]
+        for name in names:
+            self._news[name] -= 1
+            self._news.move_to_end(name)
+            if self._news[name] <= 0:
+                del self._news[name]
+        known = [r.incarnation.name for r in self._members.records()]
+        # Beside the news a few random records repair losses.
+        room = min(len(known), 4, self._cfg.max_records - len(names))
+        picked = dict.fromkeys([*names, *self._rng.sample(known, room)])
+        own = self._own.incarnation.name
+        found = (
+            self._own if n == own else self._members.record(n) for n in picked
+        )
+        return tuple(r for r in found if r is not None)
+
+    def _take_gone(self) -> tuple[incarnation_lib.Incarnation, ...]:
+        taken = list(self._news_gone)[: self._cfg.max_records]
+        for inc in taken:
+            self._news_gone[inc] -= 1
+            if self._news_gone[inc] <= 0:
+                del self._news_gone[inc]
+        return tuple(taken)
--- /dev/null
+++ b/hibiscuspass/router/fleet_runtime.py
@@ -0,0 +1,288 @@
+"""Membership on asyncio: polls the VM list and exchanges heartbeats."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+import time
+from typing import Any
+
+import reactivex
+from reactivex import operators as ops
+from reactivex import subject
+import structlog
+
+from hibiscuspass.backends import vm_list
+from hibiscuspass.core import incarnation as incarnation_lib
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.membership import config
+from hibiscuspass.core.membership import fleet_view
+from hibiscuspass.core.membership import messages
+from hibiscuspass.core.membership import tracker
+from hibiscuspass.peers import transport as transport_lib
+from hibiscuspass.router import fleet_source
+from hibiscuspass.telemetry import recorder as recorder_lib
+
+# An urgent push that got no answer is repeated this often at once; the next
+# heartbeat rounds carry the news again.
+_PUSH_ATTEMPTS = 2
+
+_log = structlog.get_logger(__name__)
+
+
+class FleetRuntime(fleet_source.FleetSource):
+    """Keeps the fleet view current.
+
+    All methods are called on the event loop's thread.
+    """
+
+    def __init__(
+        self,
+        cfg: config.MembershipConfig,
+        fleet: tracker.Tracker,
+        transport: transport_lib.Transport,
+        vms: vm_list.VmList,
+        *,
+        rng: random.Random,
+        monotonic: Callable[[], float] = time.monotonic,
+        recorder: recorder_lib.Recorder | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._rng = rng
+        self._fleet = fleet
+        self._transport = transport
+        self._vms = vms
+        self._monotonic = monotonic
+        self._recorder = recorder
+        self._views: subject.BehaviorSubject[fleet_view.FleetView] = (
+            subject.BehaviorSubject(fleet.view(monotonic()))
+        )
+        self._loops: list[asyncio.Task[None]] = []
+        self._pushes: set[asyncio.Task[None]] = set()
+        self._closed = False
+        transport.register(messages.Heartbeat, self._on_heartbeat)
+
+    def view(self) -> fleet_view.FleetView:
+        """See base class."""
+        return self._views.value
+
+    def changes(self) -> reactivex.Observable[fleet_view.FleetView]:
+        """See base class."""
+        return self._views.pipe(ops.distinct_until_changed())
+
+    def report_backend(self, name: str, draining: bool) -> None:
+        """Records an observation of the request path.
+
+        Args:
+          name: Name of the backend server.
+          draining: Whether a load report or a refusal said that it takes no
+            new work. False only on a load report that says it does; a
+            completed request is no evidence, because it started earlier.
+        """
+        self._fleet.report_backend(name, draining, self._monotonic())
+        self._publish()
+
+    def set_leaving(self) -> None:
+        """Tells all peers that this process is stopping."""
+        self._fleet.set_leaving()
+        self._publish()
+
+    async def start(self) -> None:
+        """Reads the VM list, greets the peers and starts both loops."""
+        await self.poll_list()
+        await self.heartbeat_round()
+        self._loops = [
+            asyncio.create_task(
+                self._repeat(self.poll_list, self._list_interval_s)
+            ),
+            asyncio.create_task(
+                self._repeat(
+                    self.heartbeat_round,
+                    lambda: self._cfg.heartbeat_interval_s,
+                )
+            ),
+        ]
+
+    async def close(self) -> None:
+        """Stops all activity; the transport and the list stay open."""
+        self._closed = True
+        tasks = [*self._loops, *self._pushes]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._views.on_completed()
+
+    async def poll_list(self) -> None:
+        """Reads the VM list once; a failed read changes nothing."""
+        listed = await self._vms.fetch(timeout_s=self._cfg.list_timeout_s)
+        if isinstance(listed, refusal.Refusal):
+            _log.warning(
+                "VM list not read; keeping the last one",
+                reason=listed.reason.value,
+                detail=listed.detail,
+            )
+            return
+        self._fleet.on_vm_list(listed, self._monotonic())
+        self._publish()
+
+    async def heartbeat_round(self) -> None:
+        """Exchanges heartbeats with the routers of one round."""
+        targets = self._fleet.start_round(self._monotonic())
+        await asyncio.gather(*(self._exchange(t) for t in targets))
+        self._publish()
+
+    async def settle(self) -> None:
+        """Waits until all urgent news has been pushed."""
+        while self._pushes:
+            await asyncio.gather(*self._pushes, return_exceptions=True)
+
+    def _list_interval_s(self) -> float:
+        size = self._fleet.listed_vms / self._cfg.list_vms_per_interval
+        if size <= 1.0:
+            return self._cfg.list_interval_s
+        return self._cfg.list_interval_s * size * self._rng.uniform(0.8, 1.2)
+
+    async def _repeat(
+        self, step: Callable[[], Any], interval_s: Callable[[], float]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        next_s = loop.time()
+        while True:
+            # Missed rounds are left out, not caught up with.
+            next_s = max(next_s + interval_s(), loop.time())
+            await asyncio.sleep(next_s - loop.time())
+            try:
+                await step()
+            except Exception:
+                # A fault in one step must not end membership.
+                _log.exception("membership step failed", step=step.__name__)
+
+    async def _on_heartbeat(
+        self, sender: incarnation_lib.Incarnation, msg: Any
+    ) -> Any:
+        if msg.sender.incarnation != sender:
+            return refusal.Refusal(
+                reason_lib.Reason.INVALID_REQUEST,
+                f"heartbeat of {msg.sender.incarnation} was sent by {sender}",
+            )
+        now_s = self._monotonic()
+        self._fleet.on_heartbeat(msg, now_s, is_reply=False)
+        reply = self._fleet.reply(msg, now_s)
+        self._publish()
+        return reply
+
+    async def _exchange(
+        self, target: tracker.Target, *, all_marks: bool = False
+    ) -> bool:
+        """Sends one heartbeat; returns whether it was answered."""
+        first = not self._fleet.knows(target.name)
+        msg = self._fleet.message(
+            self._monotonic(), first_contact=first, all_marks=all_marks
+        )
+        reply = await self._transport.request(
+            target.address, msg, timeout_s=self._cfg.heartbeat_timeout_s
+        )
+        now_s = self._monotonic()
+        if not isinstance(reply, messages.Heartbeat):
+            self._fleet.on_no_answer(target.name, now_s)
+            return False
+        self._fleet.on_heartbeat(reply, now_s, is_reply=True)
+        if self._fleet.needs_exchange(reply) and not all_marks:
+            return await self._exchange(target, all_marks=True)
+        return True
+
+    async def _push(self, target: tracker.Target) -> None:
+        for _ in range(_PUSH_ATTEMPTS):
+            if await self._exchange(target):
+                break
+        self._publish()
+
+    def _publish(self) -> None:
+        """Pushes urgent news and emits the view if it changed."""
+        if self._closed:
+            return
+        now_s = self._monotonic()
+        if self._fleet.take_urgent():
+            for target in self._fleet.neighbours():
+                task = asyncio.create_task(self._push(target))
+                self._pushes.add(task)
+                task.add_done_callback(self._pushes.discard)
+        if not self._fleet.take_changed():
+            return
+        old, new = self._views.value, self._fleet.view(now_s)
+        if new == old:
+            return
+        self._record_changes(old, new)
+        self._views.on_next(new)
+
+    def _record_changes(
+        self, old: fleet_view.FleetView, new: fleet_view.FleetView
+    ) -> None:
+        if self._recorder is None:
+            return
+        accepted = {b.vm.name: b.accepts_work for b in old.backends}
+        for backend in new.backends:
+            if accepted.get(backend.vm.name) is not backend.accepts_work:
+                self._recorder.emit(
+                    "fleet.backend",
+                    backend=backend.vm.name,
+                    accepts_work=backend.accepts_work,
+                )
+        states = {r.incarnation: r.state for r in old.routers}
+        for router in new.routers:
+            if states.get(router.incarnation) is not router.state:
+                self._recorder.emit(
+                    "fleet.router",
+                    router=str(router.incarnation),
+                    state=router.state.value,
+                )
+
+
+def make_fleet_runtime(
+    cfg: config.MembershipConfig,
+    process: incarnation_lib.Incarnation,
+    transport: transport_lib.Transport,
+    vms: vm_list.VmList,
+    *,
+    peer_address: str,
+    failure_domain: str,
+    region: str,
+    seeds: Sequence[str] = (),
+    seed: int | None = None,
+    monotonic: Callable[[], float] = time.monotonic,
+    recorder: recorder_lib.Recorder | None = None,
+) -> FleetRuntime:
+    """Returns the membership of one router process, not yet started.
+
+    Args:
+      cfg: Timing and bounds.
+      process: Identity of this process.
+      transport: Links to peers; the handler for heartbeats is registered.
+      vms: The platform's list.
+      peer_address: `host:port` at which peers reach this process.
+      failure_domain: Failure domain of this process.
+      region: Region of this process.
+      seeds: Peer addresses to try beside the listed routers.
+      seed: Seed of random choices; None for an unpredictable one.
+      monotonic: Clock in seconds.
+      recorder: Timeline of this process.
+    """
+    own = messages.MemberRecord(
+        incarnation=process,
+        peer_address=peer_address,
+        failure_domain=failure_domain,
+        region=region,
+        started_ms=time.time_ns() // 1_000_000,
+    )
+    rng = random.Random(seed)
+    fleet = tracker.Tracker(cfg, own, rng, seeds)
+    return FleetRuntime(
+        cfg,
+        fleet,
+        transport,
+        vms,
+        rng=rng,
+        monotonic=monotonic,
+        recorder=recorder,
+    )
