--- /dev/null
+++ b/hibiscuspass/core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the request path: validation, cost, retry and resume."""
--- /dev/null
+++ b/hibiscuspass/core/dispatch/completion.py
@@ -0,0 +1,274 @@
+"""Validation of completion requests."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import msgspec
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.core.dispatch import cost
+from hibiscuspass.core.dispatch import model_spec
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+
+_MAX_MESSAGES = 4096
+# Fields besides the messages or the prompt whose text reaches the prompt.
+_PROMPT_FIELDS = (
+    "tools",
+    "functions",
+    "response_format",
+    "suffix",
+    "guided_json",
+    "guided_grammar",
+    "chat_template_kwargs",
+)
+# Fields that multiply the output or return the prompt as output; each must be
+# absent or have the only supported value.
+_SINGLE_VALUED_FIELDS: Mapping[str, Any] = {
+    "n": 1,
+    "best_of": 1,
+    "echo": False,
+    "use_beam_search": False,
+}
+
+
+@attrs.frozen
+class CompletionCall:
+    """A validated completion request.
+
+    Attributes:
+      path: API path.
+      body: JSON body to send to the engine.
+      model: Model to run.
+      adapter: Adapter to run on top of the model, or an empty string.
+      stream: Whether the caller asked for server-sent events.
+      output_limit: Largest number of generated tokens.
+      prompt_tokens: Largest possible number of prompt tokens.
+      worst_case: Largest possible cost in budget units.
+    """
+
+    path: str
+    body: Mapping[str, Any]
+    model: model_spec.ModelSpec
+    adapter: str
+    stream: bool
+    output_limit: int
+    prompt_tokens: int
+    worst_case: int
+
+
+def parse(
+    path: str,
+    raw: bytes,
+    workspace: workspace_lib.Workspace,
+    models: Mapping[str, model_spec.ModelSpec],
+) -> CompletionCall | refusal.Refusal:
+    """Parses and validates a request body."""
+    body = _decode(raw)
+    if isinstance(body, refusal.Refusal):
+        return body
+    refused = _check_fields(path, body)
+    if refused is not None:
+        return refused
+    spec = _select_model(body["model"], workspace, models)
+    if isinstance(spec, refusal.Refusal):
+        return spec
+    adapter = _select_adapter(body.get("adapter", ""), workspace)
+    if isinstance(adapter, refusal.Refusal):
+        return adapter
+    limit = _output_limit(body, workspace)
+    if isinstance(limit, refusal.Refusal):
+        return limit
+    return _priced(path, body, spec, adapter, limit)
+
+
+def _invalid(detail: str) -> refusal.Refusal:
+    return refusal.Refusal(reason.Reason.INVALID_REQUEST, detail)
+
+
+def _decode(raw: bytes) -> dict[str, Any] | refusal.Refusal:
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as exc:
+        return _invalid(f"body is not valid JSON: {exc}")
+    if not isinstance(body, dict):
+        return _invalid("body is not a JSON object")
+    return body
+
+
+def _check_fields(path: str, body: dict[str, Any]) -> refusal.Refusal | None:
+    if not isinstance(body.get("model"), str) or not body["model"]:
+        return _invalid("'model' must be a non-empty string")
+    if not isinstance(body.get("stream", False), bool):
+        return _invalid("'stream' must be true or false")
+    if not isinstance(body.get("adapter", ""), str):
+        return _invalid("'adapter' must be a string")
+    for field, allowed in _SINGLE_VALUED_FIELDS.items():
+        value = body.get(field)
+        if value is not None and value != allowed:
+            return _invalid(f"{field!r} is {value!r}, allowed is {allowed!r}")
+    options = body.get("stream_options")
+    if options is not None and not isinstance(options, dict):
+        return _invalid("'stream_options' must be an object")
+    if path == CHAT_PATH:
+        return _check_messages(body.get("messages"))
+    return _check_prompt(body.get("prompt"))
+
+
+def _check_messages(messages: Any) -> refusal.Refusal | None:
+    if not isinstance(messages, list) or not messages:
+        return _invalid("'messages' must be a non-empty array")
+    if len(messages) > _MAX_MESSAGES:
+        return _invalid(
+            f"'messages' has {len(messages)} entries,"
+            f" at most {_MAX_MESSAGES} are allowed"
+        )
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict):
+            return _invalid(f"'messages[{index}]' must be an object")
+        if not isinstance(message.get("role"), str):
+            return _invalid(f"'messages[{index}].role' must be a string")
+        if not _is_text(message.get("content")):
+            return _invalid(
+                f"'messages[{index}].content' must be text or text parts"
+            )
+    return None
+
+
+def _is_text(content: Any) -> bool:
+    # The tokens of an image or audio part are not bounded by its bytes.
+    if content is None or isinstance(content, str):
+        return True
+    return isinstance(content, list) and all(
+        isinstance(part, dict)
+        and part.get("type") == "text"
+        and isinstance(part.get("text"), str)
+        for part in content
+    )
+
+
+def _check_prompt(prompt: Any) -> refusal.Refusal | None:
+    if isinstance(prompt, str):
+        return None
+    # Several prompts in one request would produce several outputs.
+    if (
+        isinstance(prompt, list)
+        and prompt
+        and all(type(token) is int and token >= 0 for token in prompt)
+    ):
+        return None
+    return _invalid("'prompt' must be one string or an array of token ids")
+
+
+def _select_model(
+    name: str,
+    workspace: workspace_lib.Workspace,
+    models: Mapping[str, model_spec.ModelSpec],
+) -> model_spec.ModelSpec | refusal.Refusal:
+    spec = models.get(name)
+    if spec is None:
+        return refusal.Refusal(
+            reason.Reason.UNKNOWN_MODEL,
+            f"model {name[:100]!r} is unknown,"
+            f" allowed: {', '.join(sorted(workspace.models)) or 'none'}",
+        )
+    if name not in workspace.models:
+        return refusal.Refusal(
+            reason.Reason.MODEL_NOT_ALLOWED,
+            f"model {name!r} is not allowed in this workspace,"
+            f" allowed: {', '.join(sorted(workspace.models)) or 'none'}",
+        )
+    return spec
+
+
+def _select_adapter(
+    name: str, workspace: workspace_lib.Workspace
+) -> str | refusal.Refusal:
+    if name and name not in workspace.adapters:
+        return refusal.Refusal(
+            reason.Reason.MODEL_NOT_ALLOWED,
+            f"adapter {name[:100]!r} is not allowed in this workspace,"
+            f" allowed: {', '.join(sorted(workspace.adapters)) or 'none'}",
+        )
+    return name
+
+
+def _output_limit(
+    body: Mapping[str, Any], workspace: workspace_lib.Workspace
+) -> int | refusal.Refusal:
+    given = [
+        (field, body[field])
+        for field in ("max_tokens", "max_completion_tokens")
+        if body.get(field) is not None
+    ]
+    for field, value in given:
+        if type(value) is not int or value < 1:
+            return _invalid(f"{field!r} is {value!r}, must be at least 1")
+        # Depends on the configuration, so an earlier attempt with the same
+        # idempotency key may have been accepted; hence not INVALID_REQUEST.
+        if value > workspace.max_output_tokens:
+            return refusal.Refusal(
+                reason.Reason.FORBIDDEN,
+                f"{field!r} is {value}, this workspace allows at most"
+                f" {workspace.max_output_tokens}",
+            )
+    return min(
+        (value for _, value in given), default=workspace.max_output_tokens
+    )
+
+
+def _priced(
+    path: str,
+    body: dict[str, Any],
+    spec: model_spec.ModelSpec,
+    adapter: str,
+    limit: int,
+) -> CompletionCall | refusal.Refusal:
+    stream = body.get("stream", False)
+    prompt_tokens = _prompt_tokens(path, body, spec)
+    if prompt_tokens + limit > spec.context_tokens:
+        # A byte bound above the context may still fit in tokens, therefore the
+        # bound is lowered instead of refusing; engines refuse a longer prompt.
+        prompt_tokens = max(spec.context_tokens - limit, 0)
+        if prompt_tokens == 0:
+            return refusal.Refusal(
+                reason.Reason.FORBIDDEN,
+                f"output limit {limit} does not fit in the context of"
+                f" {spec.context_tokens} tokens",
+            )
+    body.pop("max_completion_tokens", None)
+    body["max_tokens"] = limit
+    body["stream"] = True
+    body["stream_options"] = {
+        **(body.get("stream_options") or {}),
+        "include_usage": True,
+    }
+    return CompletionCall(
+        path=path,
+        body=body,
+        model=spec,
+        adapter=adapter,
+        stream=stream,
+        output_limit=limit,
+        prompt_tokens=prompt_tokens,
+        worst_case=cost.token_cost(spec, prompt_tokens, limit),
+    )
+
+
+def _prompt_tokens(
+    path: str, body: Mapping[str, Any], spec: model_spec.ModelSpec
+) -> int:
+    extra = sum(cost.text_bytes(body.get(field)) for field in _PROMPT_FIELDS)
+    if path == CHAT_PATH:
+        messages = body["messages"]
+        return cost.prompt_bound(
+            spec, cost.text_bytes(messages) + extra, len(messages) + 1
+        )
+    prompt = body["prompt"]
+    if isinstance(prompt, list):
+        return len(prompt) + cost.prompt_bound(spec, extra, 1)
+    return cost.prompt_bound(spec, cost.text_bytes(prompt) + extra, 1)
--- /dev/null
+++ b/hibiscuspass/core/dispatch/run_plan.py
@@ -0,0 +1,213 @@
+"""Decides what follows each event and failure of one completion."""
+
+import enum
+
+import attrs
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+
+
+class Verdict(enum.Enum):
+    """What to do with one token event."""
+
+    # Pass the event on and wait for the next one.
+    RELAY = "relay"
+    # Pass the event on; it is the last one.
+    FINISH = "finish"
+    # Don't pass the event on; the output limit would be exceeded.
+    LIMIT = "limit"
+    # Don't pass the event on; it was passed on before.
+    SKIP = "skip"
+    # The stream lost events; the connection is of no use any more.
+    GAP = "gap"
+
+
+@attrs.frozen
+class Resume:
+    """Continue the stream on the same backend over a new connection."""
+
+    backend: str
+    offset: int
+
+
+@attrs.frozen
+class Dispatch:
+    """Send the request to a newly chosen backend server.
+
+    Attributes:
+      excluded: Backend servers that must not be chosen.
+      restart: Whether events received so far must be discarded.
+    """
+
+    excluded: frozenset[str]
+    restart: bool
+
+
+@attrs.frozen
+class Fail:
+    """End the request with this refusal."""
+
+    refused: refusal.Refusal
+
+
+Action = Resume | Dispatch | Fail
+
+_DEFAULT_MAX_DISPATCHES = 3
+_DEFAULT_MAX_RESUMES = 4
+
+
+class RunPlan:
+    """Progress of one completion over all its backends and connections.
+
+    Attributes:
+      backend: Backend server of the current dispatch.
+      next_index: Index of the next event expected from the backend.
+      output_tokens: Tokens accepted so far.
+      usage: Usage reported by the backend, if any.
+      delivered: Whether the caller has received any event.
+      bytes_sent: Whether any backend may have received the request.
+      prompt_run: Whether a backend has produced at least one event.
+    """
+
+    __slots__ = (
+        "_attached",
+        "_dispatches",
+        "_excluded",
+        "_max_dispatches",
+        "_max_resumes",
+        "_output_limit",
+        "_resumes",
+        "_sent_here",
+        "backend",
+        "bytes_sent",
+        "delivered",
+        "next_index",
+        "output_tokens",
+        "prompt_run",
+        "usage",
+    )
+
+    def __init__(
+        self,
+        output_limit: int,
+        *,
+        attached: refusal.Refusal | None = None,
+        max_dispatches: int = _DEFAULT_MAX_DISPATCHES,
+        max_resumes: int = _DEFAULT_MAX_RESUMES,
+    ) -> None:
+        """Creates the plan.
+
+        Args:
+          output_limit: Largest number of tokens to accept.
+          attached: Set if another attempt owns the request, which must not be
+            dispatched again: the answer if the engine no longer has it.
+          max_dispatches: Backends to try, the first one included.
+          max_resumes: Consecutive resumes without any new event.
+        """
+        self._output_limit = output_limit
+        self._attached = attached
+        self._max_dispatches = max_dispatches
+        self._max_resumes = max_resumes
+        self._excluded: frozenset[str] = frozenset()
+        self._dispatches = 0
+        self._resumes = 0
+        # Whether the current backend may have received the request.
+        self._sent_here = False
+        self.backend = ""
+        self.next_index = 0
+        self.output_tokens = 0
+        self.usage: engine.Usage | None = None
+        self.delivered = False
+        self.bytes_sent = False
+        self.prompt_run = False
+
+    def on_dispatch(self, backend: str) -> None:
+        """Records that the request is about to be sent to a backend."""
+        self.backend = backend
+        self._dispatches += 1
+        self._resumes = 0
+        self._sent_here = False
+
+    def on_earlier_run(self, backend: str) -> None:
+        """Records that an earlier attempt may have run on a backend."""
+        self.backend = backend
+        self.on_sent()
+
+    def on_sent(self) -> None:
+        """Records that the current backend may have received the request."""
+        self._sent_here = self.bytes_sent = True
+
+    def on_event(self, event: engine.TokenEvent) -> Verdict:
+        """Decides on an event of the current connection."""
+        index = event.index
+        if index != self.next_index:
+            return Verdict.SKIP if index < self.next_index else Verdict.GAP
+        self._sent_here = self.bytes_sent = self.prompt_run = True
+        if event.usage is not None:
+            self.usage = event.usage
+        if self.output_tokens + event.tokens > self._output_limit:
+            return Verdict.LIMIT
+        self.next_index = index + 1
+        self.output_tokens += event.tokens
+        self._resumes = 0
+        return Verdict.FINISH if event.finished else Verdict.RELAY
+
+    def on_refusal(self, refused: refusal.Refusal) -> Action:
+        """Decides after a dispatch or resume ended without a final event."""
+        if refused.reason is reason.Reason.NOT_FOUND:
+            return self._elsewhere(refused)
+        if refused.run is not run_state.RunState.NO:
+            self.on_sent()
+        elif not self._sent_here:
+            return self._elsewhere(refused)
+        self._resumes += 1
+        if self._resumes <= self._max_resumes:
+            return Resume(self.backend, self.next_index)
+        return self._elsewhere(refused)
+
+    def on_no_route(self, refused: refusal.Refusal) -> Fail:
+        """Returns the answer when no backend server can be chosen."""
+        return self._failure(refused)
+
+    def _elsewhere(self, refused: refusal.Refusal) -> Action:
+        # Another engine produces another text, so it can continue only a
+        # stream of which the caller has received nothing.
+        if (
+            self._attached is not None
+            or self.delivered
+            or self._dispatches >= self._max_dispatches
+        ):
+            return self._failure(refused)
+        if refused.reason is not reason.Reason.NOT_FOUND:
+            self._excluded |= {self.backend}
+        restart = self.next_index > 0
+        self.next_index = 0
+        self.output_tokens = 0
+        self.usage = None
+        return Dispatch(self._excluded, restart)
+
+    def _failure(self, refused: refusal.Refusal) -> Fail:
+        if self._attached is not None and not self.delivered:
+            return Fail(self._attached)
+        if self.prompt_run:
+            return Fail(
+                refusal.Refusal(
+                    reason.Reason.BACKEND_LOST,
+                    f"stream ended after {self.output_tokens} tokens and"
+                    f" cannot be continued: {refused.detail}",
+                    run_state.RunState.YES,
+                )
+            )
+        if not self.bytes_sent:
+            return Fail(attrs.evolve(refused, run=run_state.RunState.NO))
+        lost = (
+            reason.Reason.BACKEND_LOST
+            if refused.reason is reason.Reason.NOT_FOUND
+            else refused.reason
+        )
+        return Fail(
+            attrs.evolve(refused, reason=lost, run=run_state.RunState.UNKNOWN)
+        )
--- /dev/null
+++ b/hibiscuspass/router/admission_gate.py
@@ -0,0 +1,68 @@
+"""Waits for the admission controller's decisions."""
+
+import asyncio
+from collections.abc import Iterable
+
+from hibiscuspass.core import refusal
+from hibiscuspass.core.admission import controller as controller_lib
+
+_EXPIRY_MARGIN_S = 0.001
+
+
+class AdmissionGate:
+    """Lets a call wait until it is admitted or refused."""
+
+    def __init__(self, controller: controller_lib.AdmissionController) -> None:
+        self._controller = controller
+        self._waiting: dict[
+            str, asyncio.Future[controller_lib.Admitted | refusal.Refusal]
+        ] = {}
+
+    async def enter(
+        self, req: controller_lib.AdmissionRequest
+    ) -> refusal.Refusal | None:
+        """Returns once the call is admitted, or with the refusal.
+
+        An admitted call must be ended by `leave`; a refused or cancelled one
+        must not.
+        """
+        loop = asyncio.get_running_loop()
+        decision = self._controller.admit(req, loop.time())
+        if isinstance(decision, controller_lib.Queued):
+            decision = await self._wait(req, loop)
+        return decision if isinstance(decision, refusal.Refusal) else None
+
+    def leave(self, request_id: str) -> None:
+        """Ends an admitted call."""
+        now_s = asyncio.get_running_loop().time()
+        self._apply(self._controller.release(request_id, now_s))
+
+    async def _wait(
+        self,
+        req: controller_lib.AdmissionRequest,
+        loop: asyncio.AbstractEventLoop,
+    ) -> controller_lib.Admitted | refusal.Refusal:
+        fut: asyncio.Future[controller_lib.Admitted | refusal.Refusal] = (
+            loop.create_future()
+        )
+        self._waiting[req.request_id] = fut
+        timer = loop.call_later(req.deadline_s + _EXPIRY_MARGIN_S, self._expire)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self._waiting.pop(req.request_id, None)
+            # Also gives back the slot if the decision came just before.
+            self.leave(req.request_id)
+            raise
+        finally:
+            timer.cancel()
+
+    def _expire(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._apply(self._controller.expire(now_s))
+
+    def _apply(self, decisions: Iterable[controller_lib.Decision]) -> None:
+        for decision in decisions:
+            fut = self._waiting.pop(decision.request_id, None)
+            if fut is not None and not fut.done():
+                fut.set_result(decision.outcome)
--- /dev/null
+++ b/hibiscuspass/router/caller_api.py
@@ -0,0 +1,211 @@
+"""The HTTP server for callers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import ssl
+
+from aiohttp import web
+import structlog
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.dispatch import completion
+from hibiscuspass.router import call_context
+from hibiscuspass.router import completions
+from hibiscuspass.router import http_answer
+from hibiscuspass.router import intake
+from hibiscuspass.router import interrupt
+from hibiscuspass.router import parts as parts_lib
+from hibiscuspass.router import service_calls
+
+_LOG = structlog.get_logger(__name__)
+
+Answer = web.StreamResponse | refusal.Refusal
+CallHandler = Callable[
+    [web.Request, call_context.CallContext], Awaitable[Answer]
+]
+
+# A refused body is not read to its end for longer than this.
+_LINGER_S = 1.0
+_KEEP_ALIVE_S = 75.0
+_STOP_S = 1.0
+
+
+class CallerApi:
+    """Serves callers, probes and metrics on one listener."""
+
+    def __init__(self, parts: parts_lib.Parts) -> None:
+        self._parts = parts
+        self._runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Starts to listen; port 0 picks a free one, see `port`."""
+        runner = web.AppRunner(
+            self.make_app(),
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=_KEEP_ALIVE_S,
+            lingering_time=_LINGER_S,
+            shutdown_timeout=_STOP_S,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, host, port, ssl_context=tls).start()
+        self._runner = runner
+        self.port = runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def make_app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=0)
+        completion_handler = completions.CompletionHandler(self._parts)
+        service_handler = service_calls.ServiceHandler(self._parts)
+        endpoint = self._endpoint
+        app.add_routes(
+            [
+                web.post(
+                    completion.CHAT_PATH,
+                    endpoint("chat", completion_handler.handle),
+                ),
+                web.post(
+                    completion.TEXT_PATH,
+                    endpoint("completions", completion_handler.handle),
+                ),
+                web.get("/v1/models", endpoint("models", self._models)),
+                web.route(
+                    "*",
+                    "/services/{service:[A-Za-z0-9_.-]+}{tail:(/.*)?}",
+                    endpoint("services", service_handler.handle),
+                ),
+                web.get("/healthz", _healthz),
+                web.get("/readyz", self._readyz),
+                web.get("/metrics", self._metrics),
+                web.route("*", "/{tail:.*}", endpoint("none", _not_found)),
+            ]
+        )
+        return app
+
+    def _endpoint(
+        self, api: str, handler: CallHandler
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def serve(req: web.Request) -> web.StreamResponse:
+            ctx = call_context.begin(
+                req.headers.get(call_context.IDEMPOTENCY_HEADER, "")
+            )
+            with self._parts.lifecycle.track(ctx):
+                answer = await self._call(api, handler, req, ctx)
+            self._record(api, ctx, answer)
+            if not isinstance(answer, refusal.Refusal):
+                return answer
+            resp = http_answer.error_response(answer, ctx.request_id)
+            if not req.content.at_eof():
+                # The rest of an unread body would be taken for a request.
+                resp.force_close()
+            return resp
+
+        return serve
+
+    async def _call(
+        self,
+        api: str,
+        handler: CallHandler,
+        req: web.Request,
+        ctx: call_context.CallContext,
+    ) -> Answer:
+        try:
+            return await handler(req, ctx)
+        except asyncio.CancelledError:
+            if ctx.interrupter.take() is not interrupt.Kind.SHUTDOWN:
+                self._count(api, "", ctx)
+                raise
+            return refusal.Refusal(
+                reason.Reason.SHUTTING_DOWN,
+                "the router stopped before the request was complete",
+                ctx.run,
+                retry_after_s=0.0,
+            )
+        except web.HTTPException:
+            raise
+        except Exception:
+            _LOG.exception("call_failed", request_id=ctx.request_id)
+            return refusal.Refusal(
+                reason.Reason.UNAVAILABLE, "internal error", ctx.run
+            )
+
+    def _record(
+        self, api: str, ctx: call_context.CallContext, answer: Answer
+    ) -> None:
+        refused = answer if isinstance(answer, refusal.Refusal) else ctx.failure
+        if refused is None:
+            self._count(api, "", ctx, "completed")
+        elif refused.run is run_state.RunState.NO:
+            self._count(api, refused.reason.value, ctx, "not_run")
+        else:
+            self._count(api, refused.reason.value, ctx, "outcome_unknown")
+
+    def _count(
+        self,
+        api: str,
+        why: str,
+        ctx: call_context.CallContext,
+        outcome: str = "cancelled",
+    ) -> None:
+        self._parts.metrics.requests.labels(api, outcome, why).inc()
+        self._parts.recorder.emit(
+            f"request.{outcome}",
+            request_id=ctx.request_id,
+            workspace=ctx.workspace,
+            api=api,
+            reason=why,
+        )
+
+    async def _models(
+        self, req: web.Request, ctx: call_context.CallContext
+    ) -> Answer:
+        workspace = intake.authenticate(req, ctx, self._parts)
+        if isinstance(workspace, refusal.Refusal):
+            return workspace
+        names = [m for m in workspace.models if m in self._parts.models]
+        data = [
+            {"id": name, "object": "model", "owned_by": "hibiscuspass"}
+            for name in names
+        ]
+        return web.json_response(
+            {"object": "list", "data": data},
+            headers=http_answer.identity_headers(
+                ctx.request_id, run_state.RunState.YES
+            ),
+        )
+
+    async def _readyz(self, _: web.Request) -> web.Response:
+        lifecycle = self._parts.lifecycle
+        if lifecycle.ready:
+            return web.Response(text="ready\n")
+        why = "stopping" if lifecycle.stopping else "starting"
+        return web.Response(status=503, text=f"{why}\n")
+
+    async def _metrics(self, _: web.Request) -> web.Response:
+        self._parts.metrics.open_calls.set(self._parts.lifecycle.open_calls)
+        return web.Response(
+            body=self._parts.metrics.text(),
+            headers={"Content-Type": "text/plain; version=0.0.4"},
+        )
+
+
+async def _healthz(_: web.Request) -> web.Response:
+    return web.Response(text="ok\n")
+
+
+async def _not_found(req: web.Request, ctx: call_context.CallContext) -> Answer:
+    return refusal.Refusal(
+        reason.Reason.NOT_FOUND,
+        f"{req.method} {req.path[:200]!r} is not part of this API",
+    )
--- /dev/null
+++ b/hibiscuspass/router/caller_sinks.py
@@ -0,0 +1,154 @@
+"""Sinks that answer a caller."""
+
+from aiohttp import web
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.dispatch import completion
+from hibiscuspass.router import call_context
+from hibiscuspass.router import completion_json
+from hibiscuspass.router import http_answer
+from hibiscuspass.router import sink
+
+_DONE = b"[DONE]"
+_STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-store",
+    # Asks reverse proxies not to collect events.
+    "X-Accel-Buffering": "no",
+}
+
+
+class StreamSink(sink.Sink):
+    """Writes server-sent events as they arrive.
+
+    The response starts with the first event, so that earlier refusals have
+    their own HTTP status.
+    """
+
+    streams = True
+
+    def __init__(
+        self,
+        req: web.Request,
+        ctx: call_context.CallContext,
+        call: completion.CompletionCall,
+    ) -> None:
+        self._req = req
+        self._ctx = ctx
+        self._call = call
+        self._usage_sent = False
+        self.response: web.StreamResponse | None = None
+
+    async def deliver(self, event: engine.TokenEvent) -> bool:
+        """Writes an event."""
+        data = event.data
+        if not data or data == _DONE:
+            return True
+        if event.usage is not None:
+            self._usage_sent = True
+        try:
+            resp = self.response or await self._begin()
+            await resp.write(b"data: " + data + b"\n\n")
+        except ConnectionError:
+            return False
+        return True
+
+    def restart(self) -> None:
+        """Not possible for a stream.
+
+        Raises:
+          AssertionError: Always.
+        """
+        raise AssertionError("events were already sent to the caller")
+
+    async def finish(self, usage: engine.Usage, *, limited: bool) -> None:
+        """Writes the usage, if the engine did not, and `[DONE]`."""
+        last = b"data: [DONE]\n\n"
+        if limited or not self._usage_sent:
+            chunk = completion_json.final_chunk(
+                self._call, self._ctx.request_id, usage, limited=limited
+            )
+            last = b"data: " + chunk + b"\n\n" + last
+        await self._end(last)
+
+    async def fail(self, refused: refusal.Refusal) -> bool:
+        """Writes an error event as the last one."""
+        if self.response is None:
+            return False
+        body = http_answer.error_body(refused, self._ctx.request_id)
+        await self._end(b"event: error\ndata: " + body + b"\n\n")
+        return True
+
+    async def _begin(self) -> web.StreamResponse:
+        headers = http_answer.identity_headers(
+            self._ctx.request_id, run_state.RunState.YES
+        )
+        resp = web.StreamResponse(headers={**_STREAM_HEADERS, **headers})
+        await resp.prepare(self._req)
+        self.response = resp
+        return resp
+
+    async def _end(self, data: bytes) -> None:
+        try:
+            resp = self.response or await self._begin()
+            await resp.write(data)
+            await resp.write_eof()
+        except ConnectionError:
+            pass
+
+
+class AnswerSink(sink.Sink):
+    """Collects all events and answers once."""
+
+    streams = False
+
+    def __init__(
+        self,
+        ctx: call_context.CallContext,
+        call: completion.CompletionCall,
+    ) -> None:
+        self._ctx = ctx
+        self._chunks = completion_json.Aggregator(call)
+        self.response: web.StreamResponse | None = None
+
+    async def deliver(self, event: engine.TokenEvent) -> bool:
+        """Collects an event."""
+        if event.data and event.data != _DONE:
+            self._chunks.add(event.data)
+        return True
+
+    def restart(self) -> None:
+        """Discards all events."""
+        self._chunks.clear()
+
+    async def finish(self, usage: engine.Usage, *, limited: bool) -> None:
+        """Makes the answer."""
+        self.response = web.Response(
+            body=self._chunks.answer(
+                self._ctx.request_id, usage, limited=limited
+            ),
+            content_type="application/json",
+            headers=http_answer.identity_headers(
+                self._ctx.request_id, run_state.RunState.YES
+            ),
+        )
+
+    async def fail(self, refused: refusal.Refusal) -> bool:
+        """Leaves the answer to the endpoint."""
+        return False
+
+
+CallerSink = StreamSink | AnswerSink
+
+
+def make_sink(
+    req: web.Request,
+    ctx: call_context.CallContext,
+    call: completion.CompletionCall,
+) -> CallerSink:
+    """Returns the sink for a call."""
+    if call.stream:
+        return StreamSink(req, ctx, call)
+    return AnswerSink(ctx, call)
--- /dev/null
+++ b/hibiscuspass/router/claims.py
@@ -0,0 +1,147 @@
+"""Claims of non-repeatable calls over the key-value service."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import claim
+from hibiscuspass.core import refusal
+from hibiscuspass.router import lifecycle as lifecycle_lib
+
+# A lost write that lands later than this leaves a claim that only an operator
+# prunes; calls with its key stay refused as unknown.
+_RELEASE_DELAYS_S = (0.1, 0.5, 2.0, 5.0, 10.0, 20.0, 30.0)
+_STORE_DELAYS_S = (0.0, 0.1, 0.5, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0)
+
+
+@attrs.frozen
+class Claim:
+    """A claim that this process holds.
+
+    Attributes:
+      key: Key in the key-value service.
+      record: The created record.
+      revision: Revision of the key.
+    """
+
+    key: str
+    record: claim.Record
+    revision: int
+
+
+class Claims:
+    """Makes, completes and releases claims."""
+
+    def __init__(
+        self,
+        store: kv_store.KvStore,
+        lifecycle: lifecycle_lib.Lifecycle,
+        *,
+        timeout_s: float,
+    ) -> None:
+        self._store = store
+        self._lifecycle = lifecycle
+        self._timeout_s = timeout_s
+
+    async def make(
+        self, key: str, operation: str, fingerprint: str
+    ) -> Claim | claim.Replay | refusal.Refusal:
+        """Claims a call; a cancelled attempt is released in the background."""
+        attempt = claim.Attempt(operation, fingerprint)
+        create = attempt.start()
+        action: claim.Action = create
+        try:
+            while not isinstance(action, claim.Dispatch):
+                if isinstance(action, claim.Replay):
+                    return action
+                if isinstance(action, claim.Refuse):
+                    if action.release:
+                        self._release_uncertain(key, operation)
+                    return action.refused
+                action = await self._carry_out(key, attempt, action)
+        except asyncio.CancelledError:
+            self._release_uncertain(key, operation)
+            raise
+        return Claim(key, create.record, action.revision)
+
+    async def _carry_out(
+        self,
+        key: str,
+        attempt: claim.Attempt,
+        action: claim.Create | claim.Read,
+    ) -> claim.Action:
+        if isinstance(action, claim.Create):
+            return attempt.on_create(
+                await self._store.compare_and_swap(
+                    key,
+                    0,
+                    claim.encode(action.record),
+                    timeout_s=self._timeout_s,
+                )
+            )
+        return attempt.on_read(
+            await self._store.get(key, timeout_s=self._timeout_s)
+        )
+
+    async def finish(
+        self, held: Claim, outcome: claim.StoredOutcome | refusal.Refusal
+    ) -> None:
+        """Stores an outcome, or releases the claim of a call that did not run.
+
+        Waits for the first try only; further ones go on in the background.
+        """
+        record = claim.finished(held.record, outcome)
+        value = None if record is None else claim.encode(record)
+        if not await self._write(held, value):
+            self._spawn(self._write_repeatedly(held, value))
+
+    def finish_later(
+        self, held: Claim, outcome: claim.StoredOutcome | refusal.Refusal
+    ) -> None:
+        """Does the same as `finish` without waiting at all."""
+        record = claim.finished(held.record, outcome)
+        value = None if record is None else claim.encode(record)
+        self._spawn(self._write_repeatedly(held, value))
+
+    async def _write(self, held: Claim, value: bytes | None) -> bool:
+        reply = await self._store.compare_and_swap(
+            held.key, held.revision, value, timeout_s=self._timeout_s
+        )
+        # Any known reply is final: a failed comparison means that an earlier
+        # try of this write took effect or that an operator pruned the claim.
+        return not isinstance(reply, refusal.Refusal)
+
+    async def _write_repeatedly(self, held: Claim, value: bytes | None) -> None:
+        for delay_s in _STORE_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            if await self._write(held, value):
+                return
+
+    def _release_uncertain(self, key: str, operation: str) -> None:
+        # Safe without it: a stale claim only refuses calls with its key.
+        self._spawn(self._release_own(key, operation), essential=False)
+
+    async def _release_own(self, key: str, operation: str) -> None:
+        """Deletes a claim that turns out to be of a given operation."""
+        for delay_s in _RELEASE_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            reply = await self._store.get(key, timeout_s=self._timeout_s)
+            if isinstance(reply, refusal.Refusal) or not reply.entries:
+                continue
+            current = reply.entries[0]
+            record = claim.decode(current.value)
+            if record is None or record.operation != operation:
+                return
+            deleted = await self._store.compare_and_swap(
+                key, current.revision, None, timeout_s=self._timeout_s
+            )
+            if not isinstance(deleted, refusal.Refusal):
+                return
+
+    def _spawn(
+        self, work: Coroutine[Any, Any, None], *, essential: bool = True
+    ) -> None:
+        self._lifecycle.spawn(asyncio.create_task(work), essential=essential)
--- /dev/null
+++ b/hibiscuspass/router/completion_run.py
@@ -0,0 +1,328 @@
+"""Carries out one completion over one or more backend servers."""
+
+import asyncio
+from typing import Any
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.core.dispatch import completion
+from hibiscuspass.core.dispatch import run_plan
+from hibiscuspass.core.dispatch import settlement
+from hibiscuspass.core.routing import policy
+from hibiscuspass.router import call_context
+from hibiscuspass.router import hold as hold_lib
+from hibiscuspass.router import interrupt
+from hibiscuspass.router import parts as parts_lib
+from hibiscuspass.router import relay
+from hibiscuspass.router import sink as sink_lib
+
+Result = relay.Ended | refusal.Refusal
+# A `Fail` is final, a `Refusal` may be followed by a resume or retry.
+_StepResult = Result | run_plan.Fail
+
+
+class CompletionRun:
+    """One completion from its dispatch to its last event.
+
+    Attributes:
+      plan: Progress so far.
+      abandoned: Whether the caller left before the end.
+    """
+
+    def __init__(
+        self,
+        parts: parts_lib.Parts,
+        ctx: call_context.CallContext,
+        workspace: workspace_lib.Workspace,
+        call: completion.CompletionCall,
+        *,
+        plan: run_plan.RunPlan,
+        sink: sink_lib.Sink,
+        hold: hold_lib.Hold | None,
+        interrupter: interrupt.Interrupter,
+    ) -> None:
+        self._parts = parts
+        self._ctx = ctx
+        self._workspace = workspace
+        self._call = call
+        self._sink = sink
+        self._hold = hold
+        self._interrupter = interrupter
+        self._retries = 0
+        self._placed = False
+        self._limited = False
+        self._failed = False
+        self._relay = relay.Relay(
+            plan,
+            sink,
+            interrupter,
+            parts.limits,
+            on_first_event=self._on_first_event,
+            observe_gap=parts.metrics.observe_gap,
+        )
+        self.plan = plan
+        self.abandoned = False
+
+    async def execute(self, action: run_plan.Action) -> Result:
+        """Carries out actions until the run ends."""
+        self.abandoned = True
+        result = await self._execute(action)
+        self.abandoned = result is relay.Ended.CALLER_GONE
+        self._limited = result is relay.Ended.LIMITED
+        self._failed = isinstance(result, refusal.Refusal)
+        return result
+
+    def must_cancel(self, *, keyed: bool) -> bool:
+        """Tells whether the engine may still work for nobody.
+
+        A retry of a keyed request can still attach to its engine, so only the
+        output limit stops it there.
+        """
+        if not self.plan.bytes_sent:
+            return False
+        unused = self.abandoned or self._failed
+        return self._limited or (unused and not keyed)
+
+    def followed_by(
+        self, sink: sink_lib.Sink, interrupter: interrupt.Interrupter
+    ) -> "CompletionRun":
+        """Returns a run that goes on from here with another sink."""
+        return CompletionRun(
+            self._parts,
+            self._ctx,
+            self._workspace,
+            self._call,
+            plan=self.plan,
+            sink=sink,
+            hold=self._hold,
+            interrupter=interrupter,
+        )
+
+    def usage(self) -> engine.Usage:
+        """Returns the reported usage, or else the counted one."""
+        return self.plan.usage or engine.Usage(
+            prompt_tokens=self._call.prompt_tokens,
+            output_tokens=self.plan.output_tokens,
+        )
+
+    async def _execute(self, action: run_plan.Action) -> Result:
+        while True:
+            try:
+                result: _StepResult | run_plan.Action
+                result = await self._step(action)
+            except asyncio.CancelledError:
+                kind = self._interrupter.take()
+                if kind is None:
+                    self._end_placement(succeeded=True)
+                    raise
+                result = self._on_interrupt(kind)
+            if isinstance(result, relay.Ended):
+                # A caller that left says nothing about the backend.
+                self._end_placement(succeeded=True)
+                return result
+            if isinstance(result, refusal.Refusal):
+                result = self._next_action(result)
+            if isinstance(result, run_plan.Fail):
+                self._end_placement(succeeded=False)
+                return result.refused
+            action = result
+
+    def settle(self) -> None:
+        """Settles the permit with the cost known now."""
+        if self._hold is None or self._hold.settled:
+            return
+        cost, kind = settlement.final_cost(
+            self._call, self.plan, self._hold.permit.hold
+        )
+        self._hold.settle(cost, kind)
+        self._emit(
+            "permit.settled",
+            grant_id=self._hold.permit.grant_id,
+            cost=cost,
+            cost_kind=kind.value,
+        )
+
+    async def cancel_backend(self, backend: str) -> None:
+        """Stops the request at an engine, as far as it can be reached."""
+        client = self._parts.backends.engine(backend)
+        if client is not None:
+            self._emit("dispatch.cancelled", backend=backend)
+            await client.cancel(
+                self._ctx.request_id,
+                timeout_s=self._parts.limits.cancel_timeout_s,
+            )
+
+    def _emit(self, kind: str, **fields: Any) -> None:
+        self._parts.recorder.emit(
+            kind,
+            request_id=self._ctx.request_id,
+            workspace=self._ctx.workspace,
+            **fields,
+        )
+
+    def _on_interrupt(self, kind: interrupt.Kind) -> _StepResult:
+        if kind is interrupt.Kind.SLOW_CALLER:
+            return relay.Ended.CALLER_GONE
+        if kind is interrupt.Kind.SHUTDOWN:
+            return run_plan.Fail(self.shutdown_refusal())
+        return refusal.Refusal(
+            reason.Reason.BACKEND_TIMEOUT,
+            f"backend {self.plan.backend!r} sent nothing for too long",
+            run_state.RunState.UNKNOWN,
+        )
+
+    def shutdown_refusal(self) -> refusal.Refusal:
+        """Returns the answer to a call cut off by the shutdown."""
+        run = run_state.RunState.NO
+        if self.plan.bytes_sent:
+            run = run_state.RunState.UNKNOWN
+        if self.plan.prompt_run:
+            run = run_state.RunState.YES
+        return refusal.Refusal(
+            reason.Reason.SHUTTING_DOWN,
+            "the router stopped before the answer was complete",
+            run,
+        )
+
+    def _next_action(self, refused: refusal.Refusal) -> run_plan.Action:
+        failed = self.plan.backend
+        action = self.plan.on_refusal(refused)
+        self._retries += 1
+        if isinstance(action, run_plan.Resume):
+            self._parts.metrics.resumes.labels(refused.reason.value).inc()
+            self._emit(
+                "stream.interrupted",
+                backend=failed,
+                reason=refused.reason.value,
+                offset=action.offset,
+            )
+            return action
+        if isinstance(action, run_plan.Dispatch):
+            return self._redispatch(action, failed, refused)
+        return action
+
+    def _redispatch(
+        self,
+        action: run_plan.Dispatch,
+        failed: str,
+        refused: refusal.Refusal,
+    ) -> run_plan.Action:
+        self._end_placement(succeeded=False)
+        if not self._parts.retries.allow_retry():
+            return self.plan.on_no_route(refused)
+        self._parts.metrics.retries.inc()
+        self._emit(
+            "dispatch.retried", backend=failed, reason=refused.reason.value
+        )
+        if action.restart:
+            self._sink.restart()
+        if refused.run is not run_state.RunState.NO:
+            task = asyncio.create_task(self.cancel_backend(failed))
+            self._parts.lifecycle.spawn(task)
+        return action
+
+    async def _step(self, action: run_plan.Action) -> _StepResult:
+        if self._retries > 1:
+            delay_s = self._parts.retries.delay_s(self._retries - 1)
+            await asyncio.sleep(delay_s)
+        if isinstance(action, run_plan.Resume):
+            return await self._resume(action)
+        assert isinstance(action, run_plan.Dispatch)
+        return await self._dispatch(action)
+
+    async def _resume(self, action: run_plan.Resume) -> Result:
+        client = self._parts.backends.engine(action.backend)
+        if client is None:
+            return refusal.Refusal(
+                reason.Reason.NOT_FOUND,
+                f"backend {action.backend!r} is not known",
+            )
+        return await self._relay.run(
+            client.resume(
+                self._ctx.request_id,
+                action.offset,
+                idle_timeout_s=self._parts.limits.first_event_s,
+            ),
+            fresh=not self.plan.prompt_run,
+        )
+
+    async def _dispatch(self, action: run_plan.Dispatch) -> _StepResult:
+        query = self._query(action.excluded)
+        now_s = asyncio.get_running_loop().time()
+        route = self._parts.routing.choose(query, now_s)
+        if isinstance(route, refusal.Refusal):
+            return self.plan.on_no_route(route)
+        client = self._parts.backends.engine(route.backend)
+        if client is None:
+            return self.plan.on_no_route(
+                refusal.Refusal(
+                    reason.Reason.NO_BACKEND,
+                    f"backend {route.backend!r} left the fleet",
+                )
+            )
+        self._place(query, route, now_s)
+        return await self._relay.run(
+            client.complete(
+                engine.EngineRequest(
+                    request_id=self._ctx.request_id,
+                    path=self._call.path,
+                    body=self._call.body,
+                    priority=self._workspace.priority,
+                    output_limit=self._call.output_limit,
+                ),
+                idle_timeout_s=self._parts.limits.first_event_s,
+            ),
+            fresh=True,
+        )
+
+    def _query(self, excluded: frozenset[str]) -> policy.RouteQuery:
+        return policy.RouteQuery(
+            request_id=self._ctx.attempt_id,
+            workspace=self._workspace.name,
+            model=self._call.model.name,
+            adapter=self._call.adapter,
+            prompt_blocks=tuple(
+                self._parts.hash_prefix(self._call.path, self._call.body)
+            ),
+            prompt_tokens=self._call.prompt_tokens,
+            output_limit=self._call.output_limit,
+            priority=self._workspace.priority,
+            first_token_deadline_s=self._workspace.first_token_deadline_s,
+            excluded=excluded,
+        )
+
+    def _place(
+        self, query: policy.RouteQuery, route: policy.Route, now_s: float
+    ) -> None:
+        if self._hold is not None:
+            self._hold.mark_used(route.backend)
+        self.plan.on_dispatch(route.backend)
+        self._parts.routing.on_dispatch(query, route, now_s)
+        self._placed = True
+        self._ctx.run = run_state.RunState.UNKNOWN
+        self._emit(
+            "dispatch.sent",
+            backend=route.backend,
+            expected_first_token_s=route.expected_first_token_s,
+        )
+
+    def _end_placement(self, *, succeeded: bool) -> None:
+        if self._placed:
+            self._placed = False
+            now_s = asyncio.get_running_loop().time()
+            self._parts.routing.on_finish(
+                self._ctx.attempt_id, succeeded, now_s
+            )
+
+    def _on_first_event(self, now_s: float) -> None:
+        elapsed_s = now_s - self._ctx.started_s
+        self._parts.routing.on_first_token(self._ctx.attempt_id, now_s)
+        self._parts.metrics.first_token.observe(elapsed_s)
+        self._emit(
+            "stream.first_token",
+            backend=self.plan.backend,
+            elapsed_s=round(elapsed_s, 4),
+        )
--- /dev/null
+++ b/hibiscuspass/router/completions.py
@@ -0,0 +1,260 @@
+"""Handles completion calls from validation to settlement."""
+
+import asyncio
+
+from aiohttp import web
+import attrs
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.core.dispatch import accuracy
+from hibiscuspass.core.dispatch import completion
+from hibiscuspass.core.dispatch import run_plan
+from hibiscuspass.router import call_context
+from hibiscuspass.router import caller_sinks
+from hibiscuspass.router import completion_run
+from hibiscuspass.router import hold as hold_lib
+from hibiscuspass.router import intake
+from hibiscuspass.router import interrupt
+from hibiscuspass.router import parts as parts_lib
+from hibiscuspass.router import relay
+from hibiscuspass.router import sink as sink_lib
+
+Answer = web.StreamResponse | refusal.Refusal
+
+_ATTACH_RETRY_S = 1.0
+
+
+@attrs.frozen(eq=False)
+class _Call:
+    """A validated call with its connection."""
+
+    req: web.Request
+    ctx: call_context.CallContext
+    workspace: workspace_lib.Workspace
+    body: completion.CompletionCall
+
+
+class CompletionHandler:
+    """Serves `/v1/chat/completions` and `/v1/completions`."""
+
+    def __init__(self, parts: parts_lib.Parts) -> None:
+        self._parts = parts
+
+    async def handle(
+        self, req: web.Request, ctx: call_context.CallContext
+    ) -> Answer:
+        """Serves one call."""
+        call = await self._validate(req, ctx)
+        if isinstance(call, refusal.Refusal):
+            return accuracy.before_lookup(call, bool(ctx.key))
+        self._parts.retries.on_request()
+        if ctx.key:
+            return await self._keyed(call)
+        return await self._unkeyed(call)
+
+    async def _validate(
+        self, req: web.Request, ctx: call_context.CallContext
+    ) -> _Call | refusal.Refusal:
+        received = await intake.receive(req, ctx, self._parts)
+        if isinstance(received, refusal.Refusal):
+            return received
+        parsed = completion.parse(
+            req.path, received.body, received.workspace, self._parts.models
+        )
+        if isinstance(parsed, refusal.Refusal):
+            return parsed
+        return _Call(req, ctx, received.workspace, parsed)
+
+    async def _unkeyed(self, call: _Call) -> Answer:
+        refused = await intake.admit(self._parts, call.ctx, call.workspace)
+        if refused is not None:
+            return refused
+        try:
+            permit = await self._acquire(call)
+            if isinstance(permit, refusal.Refusal):
+                return attrs.evolve(permit, run=run_state.RunState.NO)
+            if isinstance(permit, permit_lib.Attach):
+                # The request id is new, so this is a fault of the holder.
+                return _attach_refusal(permit)
+            return await self._run_permitted(call, permit)
+        finally:
+            self._parts.admission.leave(call.ctx.attempt_id)
+
+    async def _keyed(self, call: _Call) -> Answer:
+        permit = await self._acquire(call)
+        if isinstance(permit, refusal.Refusal):
+            return permit
+        if isinstance(permit, permit_lib.Attach):
+            return await self._attach(call, permit)
+        if permit.backend:
+            # The request already runs, so it needs no new place.
+            return await self._run_permitted(call, permit)
+        call.ctx.run = run_state.RunState.NO
+        return await self._admit_permitted(call, permit)
+
+    async def _admit_permitted(
+        self, call: _Call, permit: permit_lib.Permit
+    ) -> Answer:
+        hold = hold_lib.Hold(self._parts.budget, permit)
+        admitted = False
+        try:
+            refused = await intake.admit(self._parts, call.ctx, call.workspace)
+            if refused is not None:
+                return refused
+            admitted = True
+            return await self._run_permitted(call, permit, hold)
+        finally:
+            if admitted:
+                self._parts.admission.leave(call.ctx.attempt_id)
+            else:
+                hold.settle(0, permit_lib.CostKind.COUNTED)
+
+    async def _acquire(
+        self, call: _Call
+    ) -> permit_lib.Permit | permit_lib.Attach | refusal.Refusal:
+        ctx = call.ctx
+        outcome = await self._parts.budget.acquire(
+            permit_lib.PermitRequest(
+                request_id=ctx.request_id,
+                attempt_id=ctx.attempt_id,
+                workspace=call.workspace.name,
+                worst_case=call.body.worst_case,
+                keyed=bool(ctx.key),
+                model=call.body.model.name,
+            ),
+            timeout_s=self._parts.limits.permit_timeout_s,
+        )
+        self._parts.recorder.emit(
+            f"permit.{type(outcome).__name__.lower()}",
+            request_id=ctx.request_id,
+            workspace=ctx.workspace,
+            grant_id=getattr(outcome, "grant_id", ""),
+            worst_case=call.body.worst_case,
+        )
+        return outcome
+
+    async def _attach(self, call: _Call, attach: permit_lib.Attach) -> Answer:
+        refused = _attach_refusal(attach)
+        if not attach.backend:
+            return refused
+        plan = run_plan.RunPlan(call.body.output_limit, attached=refused)
+        plan.on_earlier_run(attach.backend)
+        call.ctx.run = refused.run
+        sink = caller_sinks.make_sink(call.req, call.ctx, call.body)
+        run = self._make_run(call, plan, sink, None)
+        return await self._answer(
+            call, run, sink, run_plan.Resume(attach.backend, 0)
+        )
+
+    async def _run_permitted(
+        self,
+        call: _Call,
+        permit: permit_lib.Permit,
+        hold: hold_lib.Hold | None = None,
+    ) -> Answer:
+        hold = hold or hold_lib.Hold(self._parts.budget, permit)
+        plan = run_plan.RunPlan(
+            call.body.output_limit,
+            max_dispatches=self._parts.limits.max_dispatches,
+            max_resumes=self._parts.limits.max_resumes,
+        )
+        action: run_plan.Action = run_plan.Dispatch(frozenset(), False)
+        if permit.backend:
+            plan.on_earlier_run(permit.backend)
+            action = run_plan.Resume(permit.backend, 0)
+        sink = caller_sinks.make_sink(call.req, call.ctx, call.body)
+        run = self._make_run(call, plan, sink, hold)
+        try:
+            return await self._answer(call, run, sink, action)
+        finally:
+            self._conclude(call, run)
+
+    def _make_run(
+        self,
+        call: _Call,
+        plan: run_plan.RunPlan,
+        sink: sink_lib.Sink,
+        hold: hold_lib.Hold | None,
+        interrupter: interrupt.Interrupter | None = None,
+    ) -> completion_run.CompletionRun:
+        return completion_run.CompletionRun(
+            self._parts,
+            call.ctx,
+            call.workspace,
+            call.body,
+            plan=plan,
+            sink=sink,
+            hold=hold,
+            interrupter=interrupter or call.ctx.interrupter,
+        )
+
+    async def _answer(
+        self,
+        call: _Call,
+        run: completion_run.CompletionRun,
+        sink: caller_sinks.CallerSink,
+        action: run_plan.Action,
+    ) -> Answer:
+        self._parts.metrics.open_streams += 1
+        try:
+            result = await run.execute(action)
+        finally:
+            self._parts.metrics.open_streams -= 1
+            self._parts.metrics.tokens += run.plan.output_tokens
+        if isinstance(result, refusal.Refusal):
+            run.settle()
+            if await sink.fail(result) and sink.response is not None:
+                call.ctx.failure = result
+                return sink.response
+            return result
+        if result is relay.Ended.CALLER_GONE:
+            return intake.hang_up(call.req, sink.response)
+        run.settle()
+        usage = run.usage()
+        await sink.finish(usage, limited=result is relay.Ended.LIMITED)
+        assert sink.response is not None
+        return sink.response
+
+    def _conclude(self, call: _Call, run: completion_run.CompletionRun) -> None:
+        """Ends whatever a call left running."""
+        spawn = self._parts.lifecycle.spawn
+        plan = run.plan
+        if run.abandoned and call.ctx.key and plan.bytes_sent:
+            # A retry with the key attaches to the request, so it goes on.
+            spawn(asyncio.create_task(self._drain(call, run)))
+            return
+        run.settle()
+        if run.must_cancel(keyed=bool(call.ctx.key)):
+            spawn(asyncio.create_task(run.cancel_backend(plan.backend)))
+
+    async def _drain(
+        self, call: _Call, run: completion_run.CompletionRun
+    ) -> None:
+        """Follows a request without a caller to its end, for its usage."""
+        follow = run.followed_by(sink_lib.NullSink(), interrupt.Interrupter())
+        try:
+            await follow.execute(
+                run_plan.Resume(run.plan.backend, run.plan.next_index)
+            )
+        finally:
+            follow.settle()
+
+
+def _attach_refusal(attach: permit_lib.Attach) -> refusal.Refusal:
+    if attach.settled:
+        return refusal.Refusal(
+            reason.Reason.ALREADY_COMPLETED,
+            "a request with this idempotency key has completed and its answer"
+            " is no longer kept",
+            run_state.RunState.YES,
+        )
+    return refusal.Refusal(
+        reason.Reason.IN_PROGRESS,
+        "a request with this idempotency key is in progress",
+        run_state.RunState.UNKNOWN,
+        retry_after_s=_ATTACH_RETRY_S,
+    )
--- /dev/null
+++ b/hibiscuspass/router/intake.py
@@ -0,0 +1,93 @@
+"""First steps of every call: key, readiness, body and admission."""
+
+from aiohttp import web
+import attrs
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.admission import controller
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.router import authentication
+from hibiscuspass.router import body
+from hibiscuspass.router import call_context
+from hibiscuspass.router import parts as parts_lib
+
+
+@attrs.frozen
+class Received:
+    """An authenticated call with its whole body."""
+
+    workspace: workspace_lib.Workspace
+    body: bytes
+
+
+async def receive(
+    req: web.Request, ctx: call_context.CallContext, parts: parts_lib.Parts
+) -> Received | refusal.Refusal:
+    """Authenticates a call and reads its body."""
+    workspace = authenticate(req, ctx, parts)
+    if isinstance(workspace, refusal.Refusal):
+        return workspace
+    refused = parts.lifecycle.check_accepts() or _check_key(ctx.key)
+    if refused is not None:
+        return refused
+    raw = await body.read(req, parts.limits)
+    if isinstance(raw, refusal.Refusal):
+        return raw
+    return Received(workspace, raw)
+
+
+def authenticate(
+    req: web.Request, ctx: call_context.CallContext, parts: parts_lib.Parts
+) -> workspace_lib.Workspace | refusal.Refusal:
+    """Returns the caller's workspace."""
+    workspace = authentication.authenticate(
+        req.headers.get("Authorization", ""), parts.config
+    )
+    if isinstance(workspace, workspace_lib.Workspace):
+        ctx.bind(workspace.name)
+    return workspace
+
+
+def _check_key(key: str) -> refusal.Refusal | None:
+    if len(key) <= call_context.MAX_IDEMPOTENCY_KEY_CHARS:
+        return None
+    return refusal.Refusal(
+        reason.Reason.INVALID_REQUEST,
+        f"'Idempotency-Key' has {len(key)} characters, at most"
+        f" {call_context.MAX_IDEMPOTENCY_KEY_CHARS} are allowed",
+    )
+
+
+async def admit(
+    parts: parts_lib.Parts,
+    ctx: call_context.CallContext,
+    workspace: workspace_lib.Workspace,
+) -> refusal.Refusal | None:
+    """Waits for admission; the refusal of a call that did not run."""
+    refused = await parts.admission.enter(
+        controller.AdmissionRequest(
+            request_id=ctx.attempt_id,
+            workspace=workspace.name,
+            priority=workspace.priority,
+            max_concurrency=workspace.max_concurrency,
+            deadline_s=workspace.first_token_deadline_s,
+        )
+    )
+    if refused is None:
+        return None
+    return attrs.evolve(refused, run=run_state.RunState.NO)
+
+
+def hang_up(
+    req: web.Request, begun: web.StreamResponse | None
+) -> web.StreamResponse:
+    """Ends the connection of a caller that left or reads too slowly.
+
+    Returns:
+      A response that aiohttp does not send any more.
+    """
+    if req.transport is not None:
+        req.transport.abort()
+    return begun if begun is not None else web.Response()
--- /dev/null
+++ b/hibiscuspass/router/interrupt.py
@@ -0,0 +1,85 @@
+"""Interrupts the task of one call from timers and from the shutdown."""
+
+import asyncio
+import enum
+import math
+
+
+class Kind(enum.Enum):
+    """Why a call was interrupted."""
+
+    # The backend server sent nothing for too long.
+    SILENT_BACKEND = "silent_backend"
+    # The caller read nothing for too long.
+    SLOW_CALLER = "slow_caller"
+    # The bound of the graceful shutdown was reached.
+    SHUTDOWN = "shutdown"
+
+
+class Interrupter:
+    """Cancels a task with a reason that the task can tell apart.
+
+    One timer per call is moved lazily: a token event only changes the deadline
+    and costs no timer operation, which matters at thousands of events/s.
+    """
+
+    __slots__ = ("_deadline", "_handle", "_kind", "_loop", "_pending", "_task")
+
+    def __init__(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._task = task
+        self._loop = asyncio.get_running_loop()
+        self._deadline = math.inf
+        self._kind = Kind.SILENT_BACKEND
+        self._pending: Kind | None = None
+        self._handle: asyncio.TimerHandle | None = None
+
+    def arm(self, deadline: float, kind: Kind) -> None:
+        """Sets when to interrupt, in loop time; replaces the last setting."""
+        self._deadline = deadline
+        self._kind = kind
+        handle = self._handle
+        if handle is None:
+            self._handle = self._loop.call_at(deadline, self._expire)
+        elif deadline < handle.when():
+            handle.cancel()
+            self._handle = self._loop.call_at(deadline, self._expire)
+
+    def disarm(self) -> None:
+        """Suspends the timer."""
+        self._deadline = math.inf
+
+    def close(self) -> None:
+        """Stops the timer."""
+        self._deadline = math.inf
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def interrupt(self, kind: Kind) -> None:
+        """Interrupts the task now."""
+        if self._pending is None:
+            self._pending = kind
+            self._task.cancel()
+
+    def take(self) -> Kind | None:
+        """Returns the reason of a cancellation, None if it came from outside.
+
+        Called by the task when it catches `asyncio.CancelledError`.
+        """
+        kind = self._pending
+        self._pending = None
+        if kind is not None and self._task.uncancel() > 0:
+            return None
+        return kind
+
+    def _expire(self) -> None:
+        self._handle = None
+        if self._deadline == math.inf:
+            return
+        if self._loop.time() < self._deadline:
+            self._handle = self._loop.call_at(self._deadline, self._expire)
+            return
+        self._deadline = math.inf
+        self.interrupt(self._kind)
--- /dev/null
+++ b/hibiscuspass/router/lifecycle.py
@@ -0,0 +1,131 @@
+"""Readiness and graceful stop of the caller API."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+
+import structlog
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.router import call_context
+from hibiscuspass.router import interrupt
+
+_LOG = structlog.get_logger(__name__)
+
+
+class Lifecycle:
+    """Knows whether new calls are accepted and which ones are open."""
+
+    def __init__(self, is_ready: Callable[[], bool] = lambda: True) -> None:
+        self._is_ready = is_ready
+        self._stopping = False
+        self._open: set[call_context.CallContext] = set()
+        self._background: set[asyncio.Task[None]] = set()
+        self._optional: set[asyncio.Task[None]] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a graceful stop has begun."""
+        return self._stopping
+
+    @property
+    def ready(self) -> bool:
+        """Whether new calls are accepted."""
+        return not self._stopping and self._is_ready()
+
+    @property
+    def open_calls(self) -> int:
+        """Number of calls in progress."""
+        return len(self._open)
+
+    def check_accepts(self) -> refusal.Refusal | None:
+        """Refuses new calls while the router starts or stops."""
+        if self._stopping:
+            return refusal.Refusal(
+                reason.Reason.SHUTTING_DOWN,
+                "this router is shutting down, use another one",
+                retry_after_s=0.0,
+            )
+        if not self._is_ready():
+            return refusal.Refusal(
+                reason.Reason.NOT_READY,
+                "this router has not loaded its configuration yet",
+                retry_after_s=1.0,
+            )
+        return None
+
+    @contextlib.contextmanager
+    def track(self, ctx: call_context.CallContext) -> Iterator[None]:
+        """Counts a call as open."""
+        self._open.add(ctx)
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            ctx.interrupter.close()
+            self._open.discard(ctx)
+            self._update_idle()
+
+    def spawn(
+        self, task: asyncio.Task[None], *, essential: bool = True
+    ) -> None:
+        """Keeps a background task of a call.
+
+        Args:
+          task: The task.
+          essential: Whether a graceful stop waits for it.
+        """
+        if essential:
+            self._background.add(task)
+            self._idle.clear()
+        else:
+            self._optional.add(task)
+        task.add_done_callback(self._on_background_done)
+
+    def _on_background_done(self, task: asyncio.Task[None]) -> None:
+        self._background.discard(task)
+        self._optional.discard(task)
+        self._update_idle()
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("background_task_failed", exc_info=task.exception())
+
+    def _update_idle(self) -> None:
+        if not self._open and not self._background:
+            self._idle.set()
+
+    def begin_stop(self) -> None:
+        """Refuses new calls from now on."""
+        self._stopping = True
+
+    async def finish(self, *, timeout_s: float, cut_s: float) -> bool:
+        """Waits for open calls; interrupts those left at the bound.
+
+        Args:
+          timeout_s: Time in which calls may complete, in seconds.
+          cut_s: Time for interrupted calls to answer, in seconds.
+
+        Returns:
+          Whether all calls completed without an interruption.
+        """
+        for task in tuple(self._optional):
+            task.cancel()
+        if await self._wait_idle(timeout_s):
+            return True
+        for ctx in tuple(self._open):
+            ctx.interrupter.interrupt(interrupt.Kind.SHUTDOWN)
+        for task in tuple(self._background):
+            task.cancel()
+        await self._wait_idle(cut_s)
+        return False
+
+    async def _wait_idle(self, timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/hibiscuspass/router/relay.py
@@ -0,0 +1,128 @@
+"""Relays the token events of one connection to a sink."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import enum
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.dispatch import idle
+from hibiscuspass.core.dispatch import run_plan
+from hibiscuspass.router import interrupt
+from hibiscuspass.router import limits as limits_lib
+from hibiscuspass.router import sink as sink_lib
+
+Stream = AsyncIterator[engine.TokenEvent | refusal.Refusal]
+
+
+class Ended(enum.Enum):
+    """How a stream ended other than by a refusal."""
+
+    COMPLETE = "complete"
+    # The router ended the stream at the output limit.
+    LIMITED = "limited"
+    CALLER_GONE = "caller_gone"
+
+
+class Relay:
+    """Relays the connections of one completion, one after the other."""
+
+    def __init__(
+        self,
+        plan: run_plan.RunPlan,
+        sink: sink_lib.Sink,
+        interrupter: interrupt.Interrupter,
+        limits: limits_lib.Limits,
+        *,
+        on_first_event: Callable[[float], None],
+        observe_gap: Callable[[float], None],
+    ) -> None:
+        self._plan = plan
+        self._sink = sink
+        self._interrupter = interrupter
+        self._slow_caller_s = limits.slow_caller_s
+        self._on_first_event = on_first_event
+        self._first_event_seen = False
+        self._observe_gap = observe_gap
+        self._idle = idle.IdleEstimator(
+            first_event_s=limits.first_event_s,
+            min_s=limits.min_idle_s,
+            max_s=limits.max_idle_s,
+        )
+
+    async def run(
+        self, stream: Stream, *, fresh: bool
+    ) -> Ended | refusal.Refusal:
+        """Relays a stream until it ends; the interrupter may cancel it.
+
+        Args:
+          stream: Events from the backend.
+          fresh: Whether the backend may still have to process the prompt.
+        """
+        try:
+            return await self._relay(stream, fresh)
+        except asyncio.CancelledError:
+            # The request may have left before the cancellation.
+            self._plan.on_sent()
+            raise
+        finally:
+            self._interrupter.disarm()
+            close = getattr(stream, "aclose", None)
+            if close is not None:
+                await close()
+
+    async def _relay(
+        self, stream: Stream, fresh: bool
+    ) -> Ended | refusal.Refusal:
+        plan, sink, idle_limit = self._plan, self._sink, self._idle
+        arm = self._interrupter.arm
+        now = asyncio.get_running_loop().time
+        last_s = 0.0
+        limit_s = (
+            idle_limit.first_event_limit_s() if fresh else idle_limit.limit_s()
+        )
+        arm(now() + limit_s, interrupt.Kind.SILENT_BACKEND)
+        async for item in stream:
+            if isinstance(item, refusal.Refusal):
+                return item
+            verdict = plan.on_event(item)
+            if verdict is run_plan.Verdict.LIMIT:
+                return Ended.LIMITED
+            if verdict is run_plan.Verdict.GAP:
+                return self._gap(item)
+            now_s = now()
+            if verdict is not run_plan.Verdict.SKIP:
+                self._observe(now_s, last_s)
+                last_s = now_s
+                arm(now_s + self._slow_caller_s, interrupt.Kind.SLOW_CALLER)
+                if not await sink.deliver(item):
+                    return Ended.CALLER_GONE
+                plan.delivered = sink.streams
+                if verdict is run_plan.Verdict.FINISH:
+                    return Ended.COMPLETE
+            arm(now_s + idle_limit.limit_s(), interrupt.Kind.SILENT_BACKEND)
+        return refusal.Refusal(
+            reason.Reason.BACKEND_LOST,
+            f"backend {plan.backend!r} ended the stream early",
+            run_state.RunState.UNKNOWN,
+        )
+
+    def _observe(self, now_s: float, last_s: float) -> None:
+        if last_s:
+            gap_s = now_s - last_s
+            self._idle.observe(gap_s)
+            self._observe_gap(gap_s)
+        elif not self._first_event_seen:
+            self._first_event_seen = True
+            self._on_first_event(now_s)
+
+    def _gap(self, item: engine.TokenEvent) -> refusal.Refusal:
+        return refusal.Refusal(
+            reason.Reason.BACKEND_LOST,
+            f"backend {self._plan.backend!r} sent event {item.index},"
+            f" expected {self._plan.next_index}",
+            run_state.RunState.UNKNOWN,
+        )
--- /dev/null
+++ b/hibiscuspass/router/service_calls.py
@@ -0,0 +1,342 @@
+"""Handles calls of plain services, repeatable or not."""
+
+import asyncio
+from collections.abc import Mapping
+import random
+from typing import Any
+
+from aiohttp import web
+import attrs
+
+from hibiscuspass.backends import service
+from hibiscuspass.core import claim
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.core.dispatch import accuracy
+from hibiscuspass.core.dispatch import model_spec
+from hibiscuspass.core.dispatch import service_path
+from hibiscuspass.router import call_context
+from hibiscuspass.router import claims as claims_lib
+from hibiscuspass.router import hold as hold_lib
+from hibiscuspass.router import http_answer
+from hibiscuspass.router import intake
+from hibiscuspass.router import parts as parts_lib
+
+Answer = web.StreamResponse | refusal.Refusal
+_Outcome = service.ServiceResponse | refusal.Refusal
+
+# Hop-by-hop fields (RFC 9110, section 7.6.1), the caller's secret, and fields
+# that the client library sets itself.
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization", "connection", "content-encoding", "content-length",
+        "date", "expect", "host", "keep-alive", "proxy-authenticate",
+        "proxy-authorization", "proxy-connection", "server", "te", "trailer",
+        "transfer-encoding", "upgrade", "accept-encoding",
+        "x-request-id", "x-run",
+    }
+)  # fmt: skip
+
+
+@attrs.frozen(eq=False)
+class _Call:
+    """A validated service call."""
+
+    ctx: call_context.CallContext
+    workspace: workspace_lib.Workspace
+    spec: model_spec.ServiceSpec
+    request: service.ServiceRequest
+    non_repeatable: bool
+
+
+class ServiceHandler:
+    """Serves `/services/<service>/<path>`."""
+
+    def __init__(self, parts: parts_lib.Parts) -> None:
+        self._parts = parts
+
+    async def handle(
+        self, req: web.Request, ctx: call_context.CallContext
+    ) -> Answer:
+        """Serves one call."""
+        call = await self._validate(req, ctx)
+        if isinstance(call, refusal.Refusal):
+            return accuracy.before_lookup(call, bool(ctx.key))
+        self._parts.retries.on_request()
+        if call.non_repeatable:
+            return await self._run_claimed(call)
+        outcome = await self._run_admitted(call)
+        if isinstance(outcome, refusal.Refusal):
+            return self._unclaimed_refusal(call, outcome)
+        return _response(call, outcome.status, outcome.headers, outcome.body)
+
+    async def _validate(
+        self, req: web.Request, ctx: call_context.CallContext
+    ) -> _Call | refusal.Refusal:
+        received = await intake.receive(req, ctx, self._parts)
+        if isinstance(received, refusal.Refusal):
+            return received
+        name = req.match_info["service"]
+        spec = self._select(name, received.workspace)
+        if isinstance(spec, refusal.Refusal):
+            return spec
+        raw_path = _path_below(req.rel_url.raw_path_qs, req)
+        if not service_path.is_unambiguous(raw_path.partition("?")[0]):
+            return refusal.Refusal(
+                reason.Reason.INVALID_REQUEST,
+                f"path {raw_path[:200]!r} has empty, relative or encoded"
+                " segments",
+            )
+        non_repeatable = service_path.is_non_repeatable(
+            received.workspace, name, req.method, _path_below(req.path, req)
+        )
+        if non_repeatable and not ctx.key:
+            return refusal.Refusal(
+                reason.Reason.IDEMPOTENCY_KEY_REQUIRED,
+                "this call must not be repeated and needs an"
+                " 'Idempotency-Key' header",
+            )
+        return _Call(
+            ctx,
+            received.workspace,
+            spec,
+            service.ServiceRequest(
+                request_id=ctx.request_id,
+                method=req.method,
+                path=raw_path,
+                headers=_passed_on(req.headers),
+                body=received.body,
+            ),
+            non_repeatable,
+        )
+
+    def _select(
+        self, name: str, workspace: workspace_lib.Workspace
+    ) -> model_spec.ServiceSpec | refusal.Refusal:
+        spec = self._parts.services.get(name)
+        if spec is None or name not in workspace.services:
+            return refusal.Refusal(
+                reason.Reason.UNKNOWN_SERVICE,
+                f"service {name[:100]!r} is not available to this workspace,"
+                f" allowed: {', '.join(sorted(workspace.services)) or 'none'}",
+            )
+        return spec
+
+    def _unclaimed_refusal(
+        self, call: _Call, refused: refusal.Refusal
+    ) -> refusal.Refusal:
+        # Without a permit there is no record of earlier attempts.
+        if call.ctx.key and call.spec.call_cost == 0:
+            return accuracy.before_lookup(refused, keyed=True)
+        return refused
+
+    async def _run_claimed(self, call: _Call) -> Answer:
+        ctx, sent = call.ctx, call.request
+        held = await self._parts.claims.make(
+            claim.claim_key(call.workspace.name, ctx.key),
+            ctx.attempt_id,
+            claim.fingerprint(sent.method, sent.path, sent.body),
+        )
+        if isinstance(held, refusal.Refusal):
+            self._emit(call, "claim.refused", reason=held.reason.value)
+            return held
+        if isinstance(held, claim.Replay):
+            self._emit(call, "claim.replayed", status=held.outcome.status)
+            stored = held.outcome
+            return _response(
+                call, stored.status, stored.headers, stored.body or b""
+            )
+        self._emit(call, "claim.created")
+        # Goes on without the caller, so that duplicates learn the outcome.
+        task = asyncio.create_task(self._run_and_store(call, held))
+        work = asyncio.create_task(_discard(task))
+        self._parts.lifecycle.spawn(work)
+        outcome = await asyncio.shield(task)
+        if isinstance(outcome, refusal.Refusal):
+            return outcome
+        return _response(call, outcome.status, outcome.headers, outcome.body)
+
+    async def _run_and_store(
+        self, call: _Call, held: claims_lib.Claim
+    ) -> _Outcome:
+        call.ctx.run = run_state.RunState.NO
+        outcome = await self._run_admitted(call)
+        if isinstance(outcome, refusal.Refusal):
+            await self._parts.claims.finish(held, outcome)
+            self._emit(call, "claim.finished", run=outcome.run.value)
+            return outcome
+        await self._parts.claims.finish(
+            held,
+            claim.StoredOutcome(
+                outcome.status, _passed_on(outcome.headers), outcome.body
+            ),
+        )
+        self._emit(call, "claim.finished", run="yes", status=outcome.status)
+        return outcome
+
+    async def _run_admitted(self, call: _Call) -> _Outcome:
+        refused = await intake.admit(self._parts, call.ctx, call.workspace)
+        if refused is not None:
+            return refused
+        try:
+            if call.spec.call_cost == 0:
+                return await self._dispatch(call, None)
+            return await self._run_permitted(call)
+        finally:
+            self._parts.admission.leave(call.ctx.attempt_id)
+
+    async def _run_permitted(self, call: _Call) -> _Outcome:
+        # The claim already tells duplicates apart.
+        keyed = bool(call.ctx.key) and not call.non_repeatable
+        permit = await self._parts.budget.acquire(
+            permit_lib.PermitRequest(
+                request_id=call.ctx.request_id,
+                attempt_id=call.ctx.attempt_id,
+                workspace=call.workspace.name,
+                worst_case=call.spec.call_cost,
+                keyed=keyed,
+                model=call.spec.name,
+            ),
+            timeout_s=self._parts.limits.permit_timeout_s,
+        )
+        if isinstance(permit, permit_lib.Attach):
+            return _attach_refusal(permit)
+        if isinstance(permit, refusal.Refusal):
+            if keyed:
+                return permit
+            return attrs.evolve(permit, run=run_state.RunState.NO)
+        return await self._run_held(call, permit)
+
+    async def _run_held(
+        self, call: _Call, permit: permit_lib.Permit
+    ) -> _Outcome:
+        hold = hold_lib.Hold(self._parts.budget, permit)
+        # A call whose end is not seen may have run.
+        cost = call.spec.call_cost
+        try:
+            if permit.backend:
+                # An earlier attempt was sent; services can't resume it.
+                return refusal.Refusal(
+                    reason.Reason.BACKEND_LOST,
+                    "an earlier attempt was sent and never answered",
+                    run_state.RunState.UNKNOWN,
+                )
+            outcome = await self._dispatch(call, hold)
+            if (
+                isinstance(outcome, refusal.Refusal)
+                and outcome.run is run_state.RunState.NO
+            ):
+                cost = 0
+            return outcome
+        finally:
+            hold.settle(cost, permit_lib.CostKind.COUNTED)
+
+    async def _dispatch(
+        self, call: _Call, hold: hold_lib.Hold | None
+    ) -> _Outcome:
+        servers = list(self._parts.backends.service_servers(call.spec.name))
+        random.shuffle(servers)
+        outcome: _Outcome = refusal.Refusal(
+            reason.Reason.NO_BACKEND,
+            f"no server of service {call.spec.name!r} accepts work",
+            retry_after_s=1.0,
+        )
+        for retry, server in enumerate(servers):
+            if retry and not await self._may_retry(retry):
+                break
+            outcome = await self._send(call, hold, server)
+            if (
+                not isinstance(outcome, refusal.Refusal)
+                or outcome.run is not run_state.RunState.NO
+            ):
+                break
+            call.ctx.run = run_state.RunState.NO
+        return outcome
+
+    async def _may_retry(self, retry: int) -> bool:
+        if not self._parts.retries.allow_retry():
+            return False
+        self._parts.metrics.retries.inc()
+        await asyncio.sleep(self._parts.retries.delay_s(retry))
+        return True
+
+    async def _send(
+        self, call: _Call, hold: hold_lib.Hold | None, server: str
+    ) -> _Outcome:
+        client = self._parts.backends.service(server)
+        if client is None:
+            return refusal.Refusal(
+                reason.Reason.NO_BACKEND, f"server {server!r} left the fleet"
+            )
+        if hold is not None:
+            hold.mark_used(server)
+        call.ctx.run = run_state.RunState.UNKNOWN
+        self._emit(call, "dispatch.sent", backend=server)
+        outcome = await client.call(call.request, timeout_s=call.spec.timeout_s)
+        if isinstance(outcome, refusal.Refusal):
+            self._emit(
+                call,
+                "dispatch.failed",
+                backend=server,
+                reason=outcome.reason.value,
+                run=outcome.run.value,
+            )
+        return outcome
+
+    def _emit(self, call: _Call, kind: str, **fields: Any) -> None:
+        self._parts.recorder.emit(
+            kind,
+            request_id=call.ctx.request_id,
+            workspace=call.ctx.workspace,
+            **fields,
+        )
+
+
+async def _discard(task: asyncio.Task[_Outcome]) -> None:
+    await task
+
+
+def _attach_refusal(attach: permit_lib.Attach) -> refusal.Refusal:
+    if attach.settled:
+        return refusal.Refusal(
+            reason.Reason.ALREADY_COMPLETED,
+            "a call with this idempotency key has completed",
+            run_state.RunState.YES,
+        )
+    return refusal.Refusal(
+        reason.Reason.IN_PROGRESS,
+        "a call with this idempotency key is in progress",
+        run_state.RunState.UNKNOWN,
+    )
+
+
+def _path_below(path: str, req: web.Request) -> str:
+    # Both forms start with `/services/<service>`, and a service name needs no
+    # encoding.
+    return path[len("/services/") + len(req.match_info["service"]) :] or "/"
+
+
+def _passed_on(headers: Mapping[str, str]) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in _DROPPED_HEADERS
+    }
+
+
+def _response(
+    call: _Call, status: int, headers: Mapping[str, str], body: bytes
+) -> web.Response:
+    return web.Response(
+        status=status,
+        body=body,
+        headers={
+            **_passed_on(headers),
+            **http_answer.identity_headers(
+                call.ctx.request_id, run_state.RunState.YES
+            ),
+        },
+    )
--- /dev/null
+++ b/tests/test_completion_run.py
@@ -0,0 +1,270 @@
+"""Guards streams against cuts, silence, limits and lost callers."""
+
+import asyncio
+
+import msgspec
+import pytest
+import pytest_asyncio
+
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.router import limits
+from tests import backend_fakes
+from tests import router_fakes as fakes
+
+_LIMITS = limits.Limits(first_event_s=0.05, min_idle_s=0.05, max_idle_s=0.05)
+_COUNTED = permit_lib.CostKind.COUNTED
+
+
+@pytest_asyncio.fixture
+async def router():
+    started = await fakes.start_router(_LIMITS)
+    yield started
+    await started.close()
+
+
+def _payloads(text: str) -> list[str]:
+    return [part for part in text.split("\n\n") if part]
+
+
+def _content(text: str) -> str:
+    chunks = [
+        msgspec.json.decode(part.removeprefix("data: "))
+        for part in _payloads(text)
+        if part.startswith("data: {")
+    ]
+    return "".join(
+        choice["delta"].get("content", "")
+        for chunk in chunks
+        for choice in chunk["choices"]
+    )
+
+
+def _assert_complete(text: str, content: str) -> None:
+    assert _content(text) == content
+    assert _payloads(text)[-1] == "data: [DONE]"
+
+
+@pytest.mark.parametrize(
+    "end", [backend_fakes.lost(), backend_fakes.HANG], ids=str
+)
+async def test_cut_or_silent_stream_is_resumed_under_one_permit(router, end):
+    first = router.engines["e1"]
+    first.completions = [[*backend_fakes.answer("a", "b", "c")[:2], end]]
+    first.resumes = [backend_fakes.answer("a", "b", "c")[2:]]
+    async with router.chat(stream=True) as resp:
+        _assert_complete(await resp.text(), "abc")
+    assert [call[0] for call in first.calls] == ["complete", "resume"]
+    assert first.calls[1] == ("resume", 2)
+    assert len(router.budget.requests) == 1
+    assert router.budget.settled == [(6, permit_lib.CostKind.REPORTED)]
+
+
+async def test_repeated_events_are_dropped_and_gaps_resumed(router):
+    full = backend_fakes.answer("a", "b", "c")
+    first = router.engines["e1"]
+    first.completions = [[full[0], full[0], full[2]]]
+    first.resumes = [full[1:]]
+    async with router.chat(stream=True) as resp:
+        _assert_complete(await resp.text(), "abc")
+
+
+async def test_lost_engine_ends_a_begun_stream_with_an_error_event(router):
+    """Guards against a mix of two engines' texts and a false `[DONE]`."""
+    first = router.engines["e1"]
+    first.completions = [[*backend_fakes.answer("a")[:1], backend_fakes.lost()]]
+    first.resumes = [[refusal.Refusal(reason.Reason.NOT_FOUND)]]
+    async with router.chat(stream=True) as resp:
+        text = await resp.text()
+    assert "[DONE]" not in text
+    last = _payloads(text)[-1]
+    assert last.startswith("event: error\ndata: ")
+    error = msgspec.json.decode(last.split("data: ")[1])["error"]
+    assert (error["code"], error["run"]) == ("backend_lost", "yes")
+    assert not router.engines["e2"].calls
+    hold = router.budget.requests[0].worst_case
+    assert router.budget.settled == [(hold - 100 + 1, _COUNTED)]
+
+
+@pytest.mark.parametrize("stream", [False, True])
+async def test_lost_engine_is_replaced_before_the_first_event(router, stream):
+    router.engines["e1"].completions = [[backend_fakes.lost()]]
+    router.engines["e1"].resumes = [[refusal.Refusal(reason.Reason.NOT_FOUND)]]
+    router.engines["e1"].completions.append(backend_fakes.answer("z"))
+    async with router.chat(stream=stream) as resp:
+        assert "z" in await resp.text()
+    assert router.budget.used == ["e1", "e1"]
+    assert len(router.budget.settled) == 1
+
+
+async def test_unstreamed_answer_is_restarted_on_another_engine(router):
+    """Guards against an answer that joins parts of two engines."""
+    first = router.engines["e1"]
+    first.completions = [
+        [*backend_fakes.answer("a", "b")[:2], backend_fakes.lost()]
+    ]
+    first.resumes = [[backend_fakes.unreached()] for _ in range(4)]
+    router.engines["e2"].completions = [backend_fakes.answer("x", "y")]
+    async with router.chat() as resp:
+        body = await resp.json()
+    assert body["choices"][0]["message"]["content"] == "xy"
+    assert len(router.budget.settled) == 1
+
+
+async def test_refused_dispatch_moves_to_the_next_engine(router):
+    router.engines["e1"].completions = [[backend_fakes.unreached()]]
+    router.engines["e2"].completions = [backend_fakes.answer("x")]
+    async with router.chat() as resp:
+        assert resp.status == 200
+    assert router.budget.used == ["e1", "e2"]
+    assert router.routing.finished == [False, True]
+
+
+async def test_refusals_everywhere_are_not_run_and_free(router):
+    for engine in router.engines.values():
+        engine.completions = [[backend_fakes.unreached()]]
+    async with router.chat() as resp:
+        error = (await resp.json())["error"]
+    assert error["run"] == "no"
+    assert router.budget.settled == [(0, _COUNTED)]
+
+
+async def test_spent_retry_budget_stops_retries(router):
+    router.retries.left = 0
+    router.engines["e1"].completions = [[backend_fakes.unreached()]]
+    async with router.chat() as resp:
+        error = (await resp.json())["error"]
+    assert (error["code"], error["run"]) == ("backend_unreachable", "no")
+    assert not router.engines["e2"].calls
+
+
+async def test_output_limit_is_enforced_on_the_stream(router):
+    """Guards the hold against an engine that ignores `max_tokens`."""
+    first = router.engines["e1"]
+    first.completions = [backend_fakes.answer(*"abcdef")]
+    async with router.chat(stream=True, max_tokens=3) as resp:
+        text = await resp.text()
+    _assert_complete(text, "abc")
+    assert '"finish_reason":"length"' in text
+    hold = router.budget.requests[0].worst_case
+    assert router.budget.settled == [(hold, _COUNTED)]
+    await router.lifecycle.finish(timeout_s=5, cut_s=0)
+    assert first.cancelled == [router.budget.requests[0].request_id]
+
+
+async def _leave_mid_stream(router, key: str) -> None:
+    resp = await router.chat(stream=True, key=key)
+    await resp.content.readuntil(b"\n\n")
+    await router.engines["e1"].hanging.wait()
+    resp.close()
+    await router.budget.changed.wait()
+
+
+async def test_lost_caller_stops_the_engine_and_pays_counted_tokens(router):
+    first = router.engines["e1"]
+    first.completions = [[*backend_fakes.answer("a")[:1], backend_fakes.HANG]]
+    first.resumes = [[backend_fakes.HANG] for _ in range(9)]
+    await _leave_mid_stream(router, "")
+    hold = router.budget.requests[0].worst_case
+    assert router.budget.settled == [(hold - 100 + 1, _COUNTED)]
+    await router.lifecycle.finish(timeout_s=5, cut_s=0)
+    assert first.cancelled
+    assert not router.admission.inside
+
+
+async def test_keyed_request_goes_on_without_its_caller(router):
+    """Guards retries: they attach to the request, which must be complete."""
+    first = router.engines["e1"]
+    first.completions = [
+        [*backend_fakes.answer("a", "b")[:1], backend_fakes.HANG]
+    ]
+    first.resumes = [backend_fakes.answer("a", "b")[1:]]
+    await _leave_mid_stream(router, "k")
+    assert router.budget.settled == [(5, permit_lib.CostKind.REPORTED)]
+    assert not first.cancelled
+
+
+@pytest.mark.parametrize("settled", [False, True])
+async def test_attach_resumes_from_the_start_and_settles_nothing(
+    router, settled
+):
+    router.budget.reply = lambda req: permit_lib.Attach(
+        req.request_id, "e2", settled
+    )
+    router.engines["e2"].resumes = [backend_fakes.answer("a", "b")]
+    async with router.chat(stream=True, key="k") as resp:
+        _assert_complete(await resp.text(), "ab")
+    assert router.engines["e2"].calls == [("resume", 0)]
+    assert not router.budget.settled
+
+
+@pytest.mark.parametrize(
+    ("settled", "code", "run"),
+    [
+        (False, "in_progress", "unknown"),
+        (True, "already_completed", "yes"),
+    ],
+)
+@pytest.mark.parametrize("backend", ["", "e1", "gone"])
+async def test_attach_never_runs_again(router, settled, code, run, backend):
+    router.budget.reply = lambda req: permit_lib.Attach(
+        req.request_id, backend, settled
+    )
+    router.engines["e1"].resumes = [[refusal.Refusal(reason.Reason.NOT_FOUND)]]
+    async with router.chat(key="k") as resp:
+        error = (await resp.json())["error"]
+    assert (resp.status, error["code"], error["run"]) == (409, code, run)
+    for engine in router.engines.values():
+        assert all(call[0] == "resume" for call in engine.calls)
+    assert not router.budget.settled
+
+
+async def test_taken_over_permit_resumes_at_its_backend(router):
+    router.budget.reply = lambda req: fakes.permit(req, "e2")
+    router.engines["e2"].resumes = [backend_fakes.answer("a")]
+    async with router.chat(key="k") as resp:
+        assert resp.status == 200
+    assert router.engines["e2"].calls == [("resume", 0)]
+    assert router.budget.settled == [(4, permit_lib.CostKind.REPORTED)]
+
+
+async def test_shutdown_bound_cuts_a_stream_with_an_error_event(router):
+    first = router.engines["e1"]
+    first.completions = [[*backend_fakes.answer("a")[:1], backend_fakes.HANG]]
+    first.resumes = [[backend_fakes.HANG] for _ in range(9)]
+    resp = await router.chat(stream=True)
+    await resp.content.readuntil(b"\n\n")
+    router.lifecycle.begin_stop()
+    assert not await router.lifecycle.finish(timeout_s=0, cut_s=5)
+    text = await resp.text()
+    assert "[DONE]" not in text
+    assert '"code":"shutting_down"' in text
+    assert '"run":"yes"' in text
+    assert len(router.budget.settled) == 1
+
+
+async def test_silent_first_event_is_given_up_truthfully(router):
+    for engine in router.engines.values():
+        engine.completions = [[backend_fakes.HANG]]
+        engine.resumes = [[backend_fakes.HANG] for _ in range(9)]
+    async with router.chat() as resp:
+        error = (await resp.json())["error"]
+    assert error["run"] == "unknown"
+    assert len(router.budget.settled) == 1
+    assert router.budget.settled[0][0] > 0
+
+
+async def test_streams_of_many_callers_stay_apart(router):
+    async def one(n: int) -> None:
+        async with router.chat(stream=True) as resp:
+            text = await resp.text()
+        contents.append(_content(text))
+
+    texts = [f"{n}-" for n in range(20)]
+    router.engines["e1"].completions = [
+        backend_fakes.answer(*[text] * 5) for text in texts
+    ]
+    contents: list[str] = []
+    await asyncio.gather(*(one(n) for n in range(20)))
+    assert sorted(contents) == sorted(text * 5 for text in texts)
