--- a/hibiscuspass/router/caller_api.py
+++ b/hibiscuspass/router/caller_api.py
@@ -6,7 +6,6 @@
 import ssl
 
 from aiohttp import web
-import structlog
 
 from hibiscuspass.core import reason
 from hibiscuspass.core import refusal
@@ -19,8 +18,10 @@
 from hibiscuspass.router import interrupt
 from hibiscuspass.router import parts as parts_lib
 from hibiscuspass.router import service_calls
+from hibiscuspass.telemetry import http as telemetry_http
+from hibiscuspass.telemetry import logs
 
-_LOG = structlog.get_logger(__name__)
+_log = logs.get_logger(__name__)
 
 Answer = web.StreamResponse | refusal.Refusal
 CallHandler = Callable[
@@ -85,12 +86,16 @@
                     "/services/{service:[A-Za-z0-9_.-]+}{tail:(/.*)?}",
                     endpoint("services", service_handler.handle),
                 ),
-                web.get("/healthz", _healthz),
-                web.get("/readyz", self._readyz),
-                web.get("/metrics", self._metrics),
-                web.route("*", "/{tail:.*}", endpoint("none", _not_found)),
             ]
         )
+        telemetry_http.add_routes(
+            app,
+            lambda: self._parts.lifecycle.ready,
+            self._parts.metrics.registry,
+        )
+        app.add_routes(
+            [web.route("*", "/{tail:.*}", endpoint("none", _not_found))]
+        )
         return app
 
     def _endpoint(
@@ -135,7 +140,7 @@
         except web.HTTPException:
             raise
         except Exception:
-            _LOG.exception("call_failed", request_id=ctx.request_id)
+            _log.exception("call failed", request_id=ctx.request_id)
             return refusal.Refusal(
                 reason.Reason.UNAVAILABLE, "internal error", ctx.run
             )
@@ -170,7 +175,7 @@
     async def _models(
         self, req: web.Request, ctx: call_context.CallContext
     ) -> Answer:
-        workspace = intake.authenticate(req, ctx, self._parts)
+        workspace = await intake.authenticate(req, ctx, self._parts)
         if isinstance(workspace, refusal.Refusal):
             return workspace
         names = [m for m in workspace.models if m in self._parts.models]
@@ -185,24 +190,6 @@
             ),
         )
 
-    async def _readyz(self, _: web.Request) -> web.Response:
-        lifecycle = self._parts.lifecycle
-        if lifecycle.ready:
-            return web.Response(text="ready\n")
-        why = "stopping" if lifecycle.stopping else "starting"
-        return web.Response(status=503, text=f"{why}\n")
-
-    async def _metrics(self, _: web.Request) -> web.Response:
-        self._parts.metrics.open_calls.set(self._parts.lifecycle.open_calls)
-        return web.Response(
-            body=self._parts.metrics.text(),
-            headers={"Content-Type": "text/plain; version=0.0.4"},
-        )
-
-
-async def _healthz(_: web.Request) -> web.Response:
-    return web.Response(text="ok\n")
-
 
 async def _not_found(req: web.Request, ctx: call_context.CallContext) -> Answer:
     return refusal.Refusal(
--- a/hibiscuspass/router/config_source.py
+++ b/hibiscuspass/router/config_source.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from hibiscuspass.core import refusal
 from hibiscuspass.core.configuration import workspace as workspace_lib
 
 
@@ -18,6 +19,15 @@
     ) -> workspace_lib.Workspace | None:
         """Returns the workspace that an access key belongs to."""
 
+    async def load_by_key_id(
+        self, key_id: str
+    ) -> workspace_lib.Workspace | refusal.Refusal | None:
+        """Like `workspace_by_key_id`, reading what is not loaded yet.
+
+        Returns a refusal if it can't be told whether the key exists.
+        """
+        return self.workspace_by_key_id(key_id)
+
     @abc.abstractmethod
     def revision(self, name: str) -> int:
         """Returns the revision in force for a workspace, 0 if none."""
--- a/hibiscuspass/router/intake.py
+++ b/hibiscuspass/router/intake.py
@@ -26,7 +26,7 @@
     req: web.Request, ctx: call_context.CallContext, parts: parts_lib.Parts
 ) -> Received | refusal.Refusal:
     """Authenticates a call and reads its body."""
-    workspace = authenticate(req, ctx, parts)
+    workspace = await authenticate(req, ctx, parts)
     if isinstance(workspace, refusal.Refusal):
         return workspace
     refused = parts.lifecycle.check_accepts() or _check_key(ctx.key)
@@ -38,11 +38,11 @@
     return Received(workspace, raw)
 
 
-def authenticate(
+async def authenticate(
     req: web.Request, ctx: call_context.CallContext, parts: parts_lib.Parts
 ) -> workspace_lib.Workspace | refusal.Refusal:
     """Returns the caller's workspace."""
-    workspace = authentication.authenticate(
+    workspace = await authentication.authenticate(
         req.headers.get("Authorization", ""), parts.config
     )
     if isinstance(workspace, workspace_lib.Workspace):
--- a/hibiscuspass/router/lifecycle.py
+++ b/hibiscuspass/router/lifecycle.py
@@ -5,14 +5,13 @@
 from collections.abc import Iterator
 import contextlib
 
-import structlog
-
 from hibiscuspass.core import reason
 from hibiscuspass.core import refusal
 from hibiscuspass.router import call_context
 from hibiscuspass.router import interrupt
+from hibiscuspass.telemetry import logs
 
-_LOG = structlog.get_logger(__name__)
+_log = logs.get_logger(__name__)
 
 
 class Lifecycle:
@@ -91,7 +90,7 @@
         self._optional.discard(task)
         self._update_idle()
         if not task.cancelled() and task.exception() is not None:
-            _LOG.error("background_task_failed", exc_info=task.exception())
+            _log.error("background task failed", exc_info=task.exception())
 
     def _update_idle(self) -> None:
         if not self._open and not self._background:
--- a/hibiscuspass/router/metrics.py
+++ b/hibiscuspass/router/metrics.py
@@ -49,8 +49,11 @@
 class RouterMetrics:
     """Counters and histograms of one router process."""
 
-    def __init__(self) -> None:
-        self.registry = prometheus_client.CollectorRegistry()
+    def __init__(
+        self, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
+        # A private registry keeps several routers in one test process apart.
+        self.registry = registry or prometheus_client.CollectorRegistry()
         self.requests = prometheus_client.Counter(
             "hibiscuspass_requests",
             "Requests by API, outcome and refusal reason.",
@@ -79,11 +82,6 @@
             "Streams that the router ended at the output limit.",
             registry=self.registry,
         )
-        self.open_calls = prometheus_client.Gauge(
-            "hibiscuspass_open_calls",
-            "Calls in progress.",
-            registry=self.registry,
-        )
         self.open_streams = 0
         self.tokens = 0
         self._gaps = _EventHistogram(
@@ -108,28 +106,9 @@
             value=self.tokens,
         )
 
-    def add_counter(
+    def add_gauge(
         self, name: str, help_text: str, read: Callable[[], float]
     ) -> None:
-        """Exports a count that another part keeps."""
-        self.registry.register(_ReadCounter(name, help_text, read))
-
-    def text(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
-
-
-class _ReadCounter:
-    """Reads a count at each collection."""
-
-    def __init__(
-        self, name: str, help_text: str, read: Callable[[], float]
-    ) -> None:
-        self._name = name
-        self._help = help_text
-        self._read = read
-
-    def collect(self) -> Iterator[prometheus_core.Metric]:
-        yield prometheus_core.CounterMetricFamily(
-            self._name, self._help, value=self._read()
-        )
+        """Exports a value that another part keeps."""
+        gauge = prometheus_client.Gauge(name, help_text, registry=self.registry)
+        gauge.set_function(read)
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -18,7 +18,6 @@
 from hibiscuspass.core.membership import fleet_view
 from hibiscuspass.core.routing import policy
 from hibiscuspass.router import admission_gate
-from hibiscuspass.router import authentication
 from hibiscuspass.router import backend_pool
 from hibiscuspass.router import budget_service
 from hibiscuspass.router import caller_api
@@ -30,11 +29,12 @@
 from hibiscuspass.router import metrics
 from hibiscuspass.router import parts as parts_lib
 from hibiscuspass.router import retry_policy
+from hibiscuspass.settings import secrets
 from hibiscuspass.telemetry import recorder
 from tests import backend_fakes
 
 SELF = incarnation.Incarnation("router-1", "a")
-SALT = "0a" * 16
+ACCESS_KEY, _STORED_KEY = secrets.make_access_key("ws")
 WORKSPACE = workspace_lib.Workspace(
     name="ws",
     models=("m",),
@@ -42,14 +42,10 @@
     non_repeatable=(
         workspace_lib.NonRepeatableRule("orders", "POST", "/print"),
     ),
-    access_keys=(
-        workspace_lib.AccessKey(
-            "id", SALT, authentication.secret_digest(SALT, "secret")
-        ),
-    ),
+    access_keys=(_STORED_KEY,),
     max_output_tokens=100,
 )
-AUTH = {"Authorization": "Bearer id.secret"}
+AUTH = {"Authorization": f"Bearer {ACCESS_KEY}"}
 
 
 class FakeConfig(config_source.ConfigSource):
@@ -64,7 +60,7 @@
     def workspace_by_key_id(
         self, key_id: str
     ) -> workspace_lib.Workspace | None:
-        return self.ws if key_id == "id" else None
+        return self.ws if key_id == _STORED_KEY.key_id else None
 
     def revision(self, name: str) -> int:
         return 1
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -75,11 +75,13 @@
     ("header", "status", "code"),
     [
         ("", 401, "unauthenticated"),
-        ("Bearer id", 401, "unauthenticated"),
-        ("Bearer id.wrong", 401, "unauthenticated"),
-        ("Bearer other.secret", 401, "unauthenticated"),
-        ("Basic id.secret", 401, "unauthenticated"),
-        ("Bearer id.\u00e9", 401, "unauthenticated"),
+        ("Bearer ", 401, "unauthenticated"),
+        ("Bearer hp.ws", 401, "unauthenticated"),
+        (f"Bearer {fakes.ACCESS_KEY}x", 401, "unauthenticated"),
+        ("Bearer hp.ws.00.secret", 401, "unauthenticated"),
+        ("Bearer hp.other.00.secret", 401, "unauthenticated"),
+        (f"Basic {fakes.ACCESS_KEY}", 401, "unauthenticated"),
+        ("Bearer hp.ws.00.\u00e9", 401, "unauthenticated"),
     ],
 )
 async def test_wrong_keys_are_refused(router, header, status, code):
@@ -148,7 +150,8 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", router.api.port)
     writer.write(
         b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
-        b"Authorization: Bearer id.secret\r\nContent-Length: 100\r\n\r\n{"
+        + f"Authorization: Bearer {fakes.ACCESS_KEY}\r\n".encode()
+        + b"Content-Length: 100\r\n\r\n{"
     )
     answer = await reader.read()
     writer.close()
--- /dev/null
+++ b/tests/test_run_plan.py
@@ -0,0 +1,139 @@
+"""Guards the decisions of the request path, without I/O."""
+
+import pytest
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.dispatch import accuracy
+from hibiscuspass.core.dispatch import cost
+from hibiscuspass.core.dispatch import idle
+from hibiscuspass.core.dispatch import model_spec
+from hibiscuspass.core.dispatch import run_plan
+from tests import backend_fakes
+
+_NOT_FOUND = refusal.Refusal(reason.Reason.NOT_FOUND)
+
+
+def _event(index: int, tokens: int = 1) -> engine.TokenEvent:
+    return engine.TokenEvent(b"{}", tokens, index)
+
+
+def _dispatched(limit: int = 10, **kwargs) -> run_plan.RunPlan:
+    plan = run_plan.RunPlan(limit, **kwargs)
+    plan.on_dispatch("e1")
+    return plan
+
+
+def test_proven_refusal_goes_elsewhere_without_the_backend():
+    plan = _dispatched()
+    assert plan.on_refusal(backend_fakes.unreached()) == run_plan.Dispatch(
+        frozenset({"e1"}), False
+    )
+
+
+def test_dispatches_are_bounded_and_end_as_not_run():
+    plan = _dispatched(max_dispatches=2)
+    plan.on_refusal(backend_fakes.unreached())
+    plan.on_dispatch("e2")
+    action = plan.on_refusal(backend_fakes.unreached())
+    assert isinstance(action, run_plan.Fail)
+    assert action.refused.run is run_state.RunState.NO
+
+
+def test_later_refusal_does_not_hide_an_earlier_dispatch():
+    """Guards against `not run` after an engine may have run the request."""
+    plan = _dispatched(max_dispatches=2, max_resumes=0)
+    assert isinstance(plan.on_refusal(backend_fakes.lost()), run_plan.Dispatch)
+    plan.on_dispatch("e2")
+    action = plan.on_refusal(backend_fakes.unreached())
+    assert isinstance(action, run_plan.Fail)
+    assert action.refused.run is run_state.RunState.UNKNOWN
+
+
+def test_events_renew_the_resumes():
+    plan = _dispatched(max_resumes=1)
+    for index in range(5):
+        plan.on_event(_event(index))
+        assert plan.on_refusal(backend_fakes.lost()) == run_plan.Resume(
+            "e1", index + 1
+        )
+    action = plan.on_refusal(backend_fakes.lost())
+    assert isinstance(action, run_plan.Dispatch)
+    assert action.restart
+
+
+def test_restart_forgets_the_lost_engines_tokens():
+    plan = _dispatched(limit=2, max_resumes=0)
+    plan.on_event(_event(0, tokens=2))
+    plan.on_refusal(backend_fakes.lost())
+    plan.on_dispatch("e2")
+    assert plan.on_event(_event(0, tokens=2)) is run_plan.Verdict.RELAY
+
+
+def test_delivered_stream_never_restarts():
+    plan = _dispatched(max_resumes=0)
+    plan.on_event(_event(0))
+    plan.delivered = True
+    action = plan.on_refusal(backend_fakes.lost())
+    assert isinstance(action, run_plan.Fail)
+    assert action.refused.run is run_state.RunState.YES
+
+
+@pytest.mark.parametrize("refused", [_NOT_FOUND, backend_fakes.unreached()])
+def test_attached_request_is_never_dispatched(refused):
+    answer = refusal.Refusal(reason.Reason.IN_PROGRESS)
+    plan = run_plan.RunPlan(10, attached=answer, max_resumes=2)
+    plan.on_earlier_run("e1")
+    action: run_plan.Action = run_plan.Resume("e1", 0)
+    steps = 0
+    while isinstance(action, run_plan.Resume):
+        action = plan.on_refusal(refused)
+        steps += 1
+        assert steps < 10
+    assert action == run_plan.Fail(answer)
+
+
+def test_event_beyond_the_limit_is_not_relayed():
+    plan = _dispatched(limit=3)
+    assert plan.on_event(_event(0, tokens=2)) is run_plan.Verdict.RELAY
+    assert plan.on_event(_event(1, tokens=2)) is run_plan.Verdict.LIMIT
+    assert plan.output_tokens == 2
+
+
+def test_idle_limit_follows_the_gaps_within_bounds():
+    estimator = idle.IdleEstimator(min_s=0.1, max_s=10.0)
+    assert estimator.limit_s() == 10.0
+    for _ in range(50):
+        estimator.observe(0.001)
+    assert estimator.limit_s() == 0.1
+    for _ in range(50):
+        estimator.observe(0.03)
+    assert 0.3 < estimator.limit_s() < 1.0
+    estimator.observe(100.0)
+    assert estimator.limit_s() == 10.0
+
+
+def test_text_bytes_counts_all_text_in_utf8():
+    value = [{"role": "user", "content": "\u00e9"}, {"a": [1, None, True]}]
+    assert cost.text_bytes(value) == 4 + 4 + 7 + 2 + 1 + 1 + 4
+
+
+def test_prompt_bound_covers_a_token_per_byte():
+    spec = model_spec.ModelSpec("m", message_overhead_tokens=5)
+    assert cost.prompt_bound(spec, 10, 2) == 20
+
+
+def test_negative_usage_does_not_lower_the_cost():
+    spec = model_spec.ModelSpec("m")
+    assert cost.reported_cost(spec, engine.Usage(-5, 3), 100) == 3
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_only_invalid_requests_are_certainly_not_run(keyed):
+    invalid = refusal.Refusal(reason.Reason.INVALID_REQUEST)
+    stopping = refusal.Refusal(reason.Reason.SHUTTING_DOWN)
+    expected = run_state.RunState.UNKNOWN if keyed else run_state.RunState.NO
+    assert accuracy.before_lookup(invalid, keyed).run is run_state.RunState.NO
+    assert accuracy.before_lookup(stopping, keyed).run is expected
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -60,7 +60,8 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", router.api.port)
     writer.write(
         f"POST /services/orders{path} HTTP/1.1\r\nHost: x\r\n"
-        "Connection: close\r\nAuthorization: Bearer id.secret\r\n"
+        "Connection: close\r\n"
+        f"Authorization: Bearer {fakes.ACCESS_KEY}\r\n"
         "Content-Length: 0\r\n\r\n".encode()
     )
     answer = await reader.read()
