--- a/hibiscuspass/core/dispatch/run_plan.py
+++ b/hibiscuspass/core/dispatch/run_plan.py
@@ -57,6 +57,15 @@
 
 _DEFAULT_MAX_DISPATCHES = 3
 _DEFAULT_MAX_RESUMES = 4
+# Every engine would answer the same.
+_FAULTS_OF_THE_REQUEST = frozenset(
+    {reason.Reason.INVALID_REQUEST, reason.Reason.BODY_TOO_LARGE}
+)
+
+
+def is_fault_of_request(refused: refusal.Refusal) -> bool:
+    """Tells whether a backend's refusal says nothing about the backend."""
+    return refused.reason in _FAULTS_OF_THE_REQUEST
 
 
 class RunPlan:
@@ -157,6 +166,8 @@
 
     def on_refusal(self, refused: refusal.Refusal) -> Action:
         """Decides after a dispatch or resume ended without a final event."""
+        if refused.reason in _FAULTS_OF_THE_REQUEST and not self.prompt_run:
+            return self._failure(refused)
         if refused.reason is reason.Reason.NOT_FOUND:
             return self._elsewhere(refused)
         if refused.run is not run_state.RunState.NO:
--- a/hibiscuspass/router/admission_gate.py
+++ b/hibiscuspass/router/admission_gate.py
@@ -48,11 +48,14 @@
         self._waiting[req.request_id] = fut
         timer = loop.call_later(req.deadline_s + _EXPIRY_MARGIN_S, self._expire)
         try:
-            return await fut
+            # Shielded, so that a cancelled call can't cancel the decision.
+            return await asyncio.shield(fut)
         except asyncio.CancelledError:
             self._waiting.pop(req.request_id, None)
-            # Also gives back the slot if the decision came just before.
-            self.leave(req.request_id)
+            # The decision may have come just before the cancellation.
+            refused = fut.done() and isinstance(fut.result(), refusal.Refusal)
+            if not refused:
+                self.leave(req.request_id)
             raise
         finally:
             timer.cancel()
--- a/hibiscuspass/router/completion_run.py
+++ b/hibiscuspass/router/completion_run.py
@@ -126,7 +126,10 @@
             if isinstance(result, refusal.Refusal):
                 result = self._next_action(result)
             if isinstance(result, run_plan.Fail):
-                self._end_placement(succeeded=False)
+                # Invalid requests of one caller must not eject an engine.
+                self._end_placement(
+                    succeeded=run_plan.is_fault_of_request(result.refused)
+                )
                 return result.refused
             action = result
 
--- a/hibiscuspass/router/completions.py
+++ b/hibiscuspass/router/completions.py
@@ -242,6 +242,8 @@
             )
         finally:
             follow.settle()
+        if follow.must_cancel(keyed=True):
+            await follow.cancel_backend(follow.plan.backend)
 
 
 def _attach_refusal(attach: permit_lib.Attach) -> refusal.Refusal:
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -1,6 +1,8 @@
 """Guards the caller API: validation, outcomes and error form."""
 
 import asyncio
+import pathlib
+import re
 
 import attrs
 import msgspec
@@ -256,3 +258,18 @@
 async def test_unknown_path_has_the_error_form(router):
     async with router.post("/v2/nothing", {}) as resp:
         assert (await _error(resp))["code"] == "not_found"
+
+
+def test_reference_lists_every_code_with_its_status():
+    """Guards the reference against codes that it does not mention."""
+    page = pathlib.Path(__file__).parents[1] / "docs" / "callers.md"
+    listed = {
+        code.strip(" `"): int(status)
+        for codes, status in re.findall(
+            r"^\| (`.+?`) \| (\d+) \|", page.read_text(), re.MULTILINE
+        )
+        for code in codes.split(",")
+    }
+    assert listed == {
+        why.value: http_answer.status_of(why) for why in reason.Reason
+    }
--- a/tests/test_completion_run.py
+++ b/tests/test_completion_run.py
@@ -268,3 +268,16 @@
     contents: list[str] = []
     await asyncio.gather(*(one(n) for n in range(20)))
     assert sorted(contents) == sorted(text * 5 for text in texts)
+
+
+async def test_request_that_an_engine_calls_invalid_ejects_nothing(router):
+    """Guards other callers against one that sends what engines refuse."""
+    router.engines["e1"].completions = [
+        [refusal.Refusal(reason.Reason.INVALID_REQUEST, "prompt too long")]
+    ]
+    async with router.chat() as resp:
+        error = (await resp.json())["error"]
+    assert (resp.status, error["run"]) == (400, "no")
+    assert router.routing.finished == [True]
+    assert not router.engines["e2"].calls
+    assert router.budget.settled == [(0, _COUNTED)]
