Report accepted changes and test the promise under faults

Cause: a change may be reported as accepted only if no running router can still serve an older revision.

Before: acknowledgements existed, but nothing read them.

--- /dev/null
+++ b/hibiscuspass/admin/change_status.py
@@ -0,0 +1,164 @@
+"""Finds out whether a configuration change is in force everywhere."""
+
+import asyncio
+
+import attrs
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.backends import vm_list as vm_list_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.configuration import acceptance as acceptance_lib
+from hibiscuspass.core.configuration import entry as entry_lib
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import member as member_lib
+from hibiscuspass.core.configuration import messages
+from hibiscuspass.peers import codec
+from hibiscuspass.peers import transport as transport_lib
+
+for _type in messages.MESSAGE_TYPES:
+    codec.DEFAULT.add(_type)
+
+# Questions to routers that are in progress at once.
+_MAX_CONCURRENT_QUESTIONS = 64
+# Each round asks the routers that the round before named for the first time.
+_MAX_ROUNDS = 16
+
+
+@attrs.frozen
+class ChangeStatus:
+    """Where a change has arrived.
+
+    Attributes:
+      workspace: Name of the workspace.
+      revision: Revision of the change.
+      accepted: Whether every known router acknowledged it.
+      missing: Routers that did not, by name.
+      unknown: Why the list of routers may be incomplete; then the change is
+        not reported as accepted.
+      routers: Revision of each router; None if it did not answer.
+    """
+
+    workspace: str
+    revision: int
+    accepted: bool
+    missing: tuple[str, ...] = ()
+    unknown: tuple[str, ...] = ()
+    routers: tuple[acceptance_lib.RouterStatus, ...] = ()
+
+
+class ChangeTracker:
+    """Announces changes to routers and collects acknowledgements."""
+
+    def __init__(
+        self,
+        store: kv_store.KvStore,
+        vm_list: vm_list_lib.VmList,
+        transport: transport_lib.Transport,
+        kv_timeout_s: float,
+        router_timeout_s: float,
+    ) -> None:
+        self._store = store
+        self._vm_list = vm_list
+        self._transport = transport
+        self._kv_timeout_s = kv_timeout_s
+        self._router_timeout_s = router_timeout_s
+
+    async def check(
+        self, name: str, revision: int | None = None
+    ) -> ChangeStatus | refusal.Refusal:
+        """Announces the stored configuration and reports where it is in force.
+
+        Args:
+          name: Name of the workspace.
+          revision: Revision to report on; None for the stored one.
+        """
+        read = await self._store.get(
+            keys.workspace(name), timeout_s=self._kv_timeout_s
+        )
+        if isinstance(read, refusal.Refusal):
+            return read
+        entry = entry_lib.ConfigEntry(name, None, read.revision)
+        for found in read.entries:
+            entry = entry_lib.ConfigEntry(name, found.value, found.revision)
+        wanted = entry.revision if revision is None else revision
+        acceptance = acceptance_lib.Acceptance(name, wanted)
+        # Read after the change was written: a router that registers later
+        # reads the change.
+        unknown = await self._require_routers(acceptance)
+        unknown += await self._ask_rounds(acceptance, entry)
+        return ChangeStatus(
+            workspace=name,
+            revision=wanted,
+            accepted=acceptance.is_accepted() and not unknown,
+            missing=acceptance.missing(),
+            unknown=unknown,
+            routers=acceptance.routers(),
+        )
+
+    async def _require_routers(
+        self, acceptance: acceptance_lib.Acceptance
+    ) -> tuple[str, ...]:
+        unknown: list[str] = []
+        members = await self._store.get_prefix(
+            keys.MEMBERS, timeout_s=self._kv_timeout_s
+        )
+        if isinstance(members, refusal.Refusal):
+            unknown.append(f"registrations can't be read: {members.detail}")
+        else:
+            acceptance.require(map(_target_of_member, members.entries))
+        vms = await self._vm_list.fetch(timeout_s=self._kv_timeout_s)
+        if isinstance(vms, refusal.Refusal):
+            unknown.append(f"the VM list can't be read: {vms.detail}")
+        else:
+            acceptance.require(
+                acceptance_lib.Target(vm.name, vm.address)
+                for vm in vms
+                if vm.role is vm_list_lib.VmRole.ROUTER
+            )
+        return tuple(unknown)
+
+    async def _ask_rounds(
+        self,
+        acceptance: acceptance_lib.Acceptance,
+        entry: entry_lib.ConfigEntry,
+    ) -> tuple[str, ...]:
+        for _ in range(_MAX_ROUNDS):
+            targets = acceptance.begin_round()
+            if not targets:
+                return ()
+            await self._ask(acceptance, targets, entry)
+        return (f"routers still name new ones after {_MAX_ROUNDS} rounds",)
+
+    async def _ask(
+        self,
+        acceptance: acceptance_lib.Acceptance,
+        targets: tuple[acceptance_lib.Target, ...],
+        entry: entry_lib.ConfigEntry,
+    ) -> None:
+        limit = asyncio.Semaphore(_MAX_CONCURRENT_QUESTIONS)
+        msg = messages.ConfigAnnounce((entry,))
+
+        async def ask(address: str) -> messages.ConfigAck | None:
+            async with limit:
+                reply = await self._transport.request(
+                    address, msg, timeout_s=self._router_timeout_s
+                )
+            return reply if isinstance(reply, messages.ConfigAck) else None
+
+        # A router is often a target twice: registered and listed.
+        addresses = sorted({t.address for t in targets if t.address})
+        replies = await asyncio.gather(*map(ask, addresses))
+        acks = dict(zip(addresses, replies, strict=True))
+        for target in targets:
+            ack = acks.get(target.address)
+            if ack is not None:
+                acceptance.answer(target, ack)
+
+
+def _target_of_member(found: kv_store.KeyValue) -> acceptance_lib.Target:
+    member = member_lib.decode(found.value)
+    # Without an address it can't be asked and stays missing.
+    return acceptance_lib.Target(
+        found.key.removeprefix(keys.MEMBERS),
+        "" if member is None else member.address,
+    )
--- a/hibiscuspass/core/configuration/template.py
+++ b/hibiscuspass/core/configuration/template.py
@@ -70,18 +70,33 @@
     workspace: dict[str, Any] = attrs.field(factory=dict)
 
 
-def encode(template: Template) -> bytes:
+@attrs.frozen
+class TemplateRecord:
+    """Stored form of a template.
+
+    Attributes:
+      template: The template.
+      operator: Operator who made the change.
+      operation: Unique id of the change.
+    """
+
+    template: Template
+    operator: str = ""
+    operation: str = ""
+
+
+def encode(record: TemplateRecord) -> bytes:
     """Returns the stored form."""
-    return json.dumps(structure.unstructure(template), sort_keys=True).encode()
+    return json.dumps(structure.unstructure(record), sort_keys=True).encode()
 
 
-def decode(raw: bytes) -> Template | tuple[structure.Problem, ...]:
+def decode(raw: bytes) -> TemplateRecord | tuple[structure.Problem, ...]:
     """Parses the stored form; returns all problems if it is not valid."""
     try:
         data = json.loads(raw)
     except ValueError as exc:
         return (structure.Problem("", str(exc), "a JSON object"),)
-    return structure.structure(data, Template)
+    return structure.structure(data, TemplateRecord)
 
 
 def _range_of(param: Parameter) -> str:
--- a/hibiscuspass/router/config_runtime.py
+++ b/hibiscuspass/router/config_runtime.py
@@ -16,6 +16,7 @@
 from hibiscuspass.core.configuration import messages
 from hibiscuspass.core.configuration import table as table_lib
 from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.peers import codec
 from hibiscuspass.peers import transport as transport_lib
 from hibiscuspass.router import config_forwarder
 from hibiscuspass.router import config_presence
@@ -31,6 +32,9 @@
 
 _log = logs.get_logger(__name__)
 
+for _type in messages.MESSAGE_TYPES:
+    codec.DEFAULT.add(_type)
+
 _APPLIED = prometheus_client.Counter(
     "hibiscuspass_config_entries_total",
     "Configuration entries received, by source and effect.",
--- /dev/null
+++ b/tests/config_simulation.py
@@ -0,0 +1,316 @@
+"""A fleet under faults that checks what operators were told."""
+
+import asyncio
+
+import attrs
+
+from hibiscuspass.admin import change_status
+from hibiscuspass.admin import config_store
+from hibiscuspass.admin import registrations
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import refusal
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import record
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.router import config_runtime
+from hibiscuspass.settings import config_sync
+from hibiscuspass.settings import process as process_lib
+from hibiscuspass.telemetry import recorder as recorder_lib
+from tests import config_fakes
+
+WORKSPACES = ("bakery", "laundry")
+_KV_TIMEOUT_S = 3.0
+
+
+@attrs.define
+class Router:
+    """One running router.
+
+    Attributes:
+      process: Its incarnation.
+      runtime: The code under test.
+      store: Its link to the key-value service.
+      transport: Its peer link.
+      view: Its own view of the fleet.
+      served: Highest revision served per workspace.
+    """
+
+    process: incarnation.Incarnation
+    runtime: config_runtime.ConfigRuntime
+    store: config_fakes.FakeKvStore
+    transport: config_fakes.FakeTransport
+    view: config_fakes.FakeFleet
+    served: dict[str, int] = attrs.field(factory=dict)
+
+
+class Simulation:
+    """Routers on slots, two operators and an administration program.
+
+    `mutate` changes a runtime after it was built, to show that the checks
+    find faults.
+    """
+
+    def __init__(self, mutate=lambda runtime: None):
+        self._mutate = mutate
+        self.data = config_fakes.KvData()
+        self.network = config_fakes.Network()
+        self.routers: dict[int, Router] = {}
+        self.accepted = dict.fromkeys(WORKSPACES, 0)
+        self.statuses = 0
+        self.reversions: list[str] = []
+        self._uses: list[asyncio.Task[None]] = []
+        self._starts = 0
+        self._names: dict[int, str] = {}
+        self._admin_store = config_fakes.FakeKvStore(self.data)
+        self._vm_list = config_fakes.FakeVmList()
+        admin = incarnation.Incarnation("admin", "1")
+        transport = config_fakes.FakeTransport(self.network, admin, "admin:1")
+        self._configs = config_store.ConfigStore(
+            self._admin_store, _KV_TIMEOUT_S
+        )
+        self._tracker = change_status.ChangeTracker(
+            self._admin_store, self._vm_list, transport, _KV_TIMEOUT_S, 0.5
+        )
+        self._janitor = registrations.RegistrationJanitor(
+            self._admin_store,
+            self._vm_list,
+            recorder_lib.Recorder(admin),
+            _KV_TIMEOUT_S,
+        )
+
+    async def apply(self, step):
+        """Runs one step, `(method name, *arguments)`."""
+        name, *args = step
+        await getattr(self, name)(*args)
+        assert not self.reversions, self.reversions
+
+    async def start(self, slot, up, replace):
+        """Starts a router; a running one of the slot crashes first."""
+        await self._end(slot, graceful=False)
+        self._starts += 1
+        if replace or slot not in self._names:
+            self._names[slot] = f"r{slot}-{self._starts}"
+        process = incarnation.Incarnation(self._names[slot], str(self._starts))
+        address = f"{process.name}:1"
+        store = config_fakes.FakeKvStore(self.data)
+        store.up = up
+        transport = config_fakes.FakeTransport(self.network, process, address)
+        view = config_fakes.FakeFleet()
+        runtime = config_runtime.make_config_runtime(
+            process=process,
+            place=process_lib.ProcessSettings(
+                process.name, "127.0.0.1", "domain-a", "north"
+            ),
+            peer_address=address,
+            store=store,
+            transport=transport,
+            fleet=view,
+            recorder=recorder_lib.Recorder(process),
+            cfg=config_sync.ConfigSyncSettings(
+                max_workspaces=1, poll_interval_s=0.5
+            ),
+            kv_timeout_s=_KV_TIMEOUT_S,
+        )
+        self._mutate(runtime)
+        await transport.start()
+        self.routers[slot] = Router(process, runtime, store, transport, view)
+        self._refresh_view(slot)
+        runtime.changes().subscribe(self._make_watcher(str(process)))
+        await runtime.start()
+
+    def _make_watcher(self, process):
+        highest = {}
+
+        def check(entry):
+            last = highest.setdefault(entry.name, entry.revision)
+            if entry.revision < last:
+                self.reversions.append(
+                    f"{process} applied {entry.revision} of {entry.name}"
+                    f" after {last}"
+                )
+            highest[entry.name] = max(last, entry.revision)
+
+        return check
+
+    async def stop(self, slot):
+        """Stops a router gracefully."""
+        await self._end(slot, graceful=True)
+
+    async def write(self, workspace, operators):
+        """Operators change a workspace at once with the same seen revision."""
+        seen = await self._configs.workspaces.get(workspace)
+        if isinstance(seen, refusal.Refusal):
+            return
+        revision = 0 if seen is None else seen.revision
+        outcomes = await asyncio.gather(
+            *(
+                self._configs.workspaces.put(
+                    workspace,
+                    revision,
+                    record.Record(
+                        workspace_lib.Workspace(workspace, priority=operator)
+                    ),
+                )
+                for operator in range(operators)
+            )
+        )
+        won = [o for o in outcomes if isinstance(o, config_store.Stored)]
+        lost = [o for o in outcomes if isinstance(o, config_store.Conflict)]
+        assert len(won) <= 1, "two changes won one race"
+        assert all(c.current is not None for c in lost)
+
+    async def delete(self, workspace):
+        """An operator deletes a workspace."""
+        seen = await self._configs.workspaces.get(workspace)
+        if isinstance(seen, config_store.Stored):
+            await self._configs.workspaces.delete(workspace, seen.revision)
+
+    async def status(self, workspace):
+        """The administration program reports; a promise is checked at once."""
+        status = await self._tracker.check(workspace)
+        if isinstance(status, refusal.Refusal) or not status.accepted:
+            return
+        self.statuses += 1
+        self.accepted[workspace] = max(
+            self.accepted[workspace], status.revision
+        )
+        for slot in list(self.routers):
+            await self.use(slot, workspace)
+
+    async def use(self, slot, workspace):
+        """A request needs a workspace on a router."""
+        router = self.routers.get(slot)
+        if router is None:
+            return
+        promised = self.accepted[workspace]
+        loaded = await router.runtime.load(workspace)
+        if isinstance(loaded, refusal.Refusal):
+            return
+        revision = router.runtime.revision(workspace)
+        if revision == 0:
+            return
+        assert revision >= promised, (
+            f"{router.process} serves {workspace} at {revision}, but"
+            f" {promised} was accepted"
+        )
+        assert revision >= router.served.get(workspace, 0), (
+            f"{router.process} went back to {revision} of {workspace}"
+        )
+        router.served[workspace] = revision
+
+    async def begin_use(self, slot, workspace):
+        """A request loads a workspace while the next steps go on."""
+        self._uses.append(asyncio.create_task(self.use(slot, workspace)))
+        await asyncio.sleep(0.01)
+
+    async def link(self, slot, up, lose_replies, delay_s):
+        """Changes a router's link to the key-value service."""
+        router = self.routers.get(slot)
+        if router is not None:
+            router.store.up = up
+            router.store.lose_replies = lose_replies
+            router.store.reply_delay_s = delay_s
+
+    async def outage(self):
+        """No router reaches the key-value service; watches are lost."""
+        for slot, router in self.routers.items():
+            await self.link(slot, False, False, 0.0)
+            router.store.lose_watches()
+
+    async def lose_watch(self, slot, silent):
+        """A watch ends, or delivers nothing any more."""
+        router = self.routers.get(slot)
+        if router is not None:
+            router.store.watch_silent = silent
+            router.store.lose_watches()
+
+    async def cut(self, slot, other):
+        """Cuts a router off from another one, or from the administration."""
+        one = self.routers.get(slot)
+        peer = self.routers.get(other)
+        if one is not None:
+            address = peer.transport.address if peer else "admin:1"
+            self.network.cut.add(frozenset((one.transport.address, address)))
+
+    async def isolate(self, slot):
+        """Cuts a router off from everything but its callers."""
+        for other in range(4):
+            if other != slot:
+                await self.cut(slot, other)
+        await self.link(slot, False, False, 0.0)
+        await self.lose_watch(slot, False)
+
+    async def gossip(self):
+        """All routers learn of all running ones."""
+        for slot in self.routers:
+            self._refresh_view(slot)
+
+    async def update_vm_list(self):
+        """The lagging VM list catches up."""
+        self._vm_list.vms = tuple(
+            config_fakes.make_vm(r.process.name, r.transport.address)
+            for r in self.routers.values()
+        )
+        await self._janitor.compare()
+
+    async def wait(self, seconds):
+        """Time passes."""
+        await asyncio.sleep(seconds)
+
+    async def heal(self):
+        """All faults end, and time passes."""
+        self.network.cut.clear()
+        for slot, router in self.routers.items():
+            router.store.watch_silent = False
+            await self.link(slot, True, False, 0.0)
+        await self.gossip()
+        await asyncio.sleep(5)
+        for _ in range(2):
+            await self.update_vm_list()
+        # A router that crashed before the list showed its VM is ended by an
+        # operator; then its sponsors notice and name it no more.
+        running = {str(r.process) for r in self.routers.values()}
+        for key in list(self.data.values):
+            process = key.removeprefix(keys.MEMBERS)
+            if key.startswith(keys.MEMBERS) and process not in running:
+                assert await self._janitor.forget(process) is True
+        await asyncio.sleep(5)
+
+    async def check_convergence(self):
+        """After all faults, changes are accepted and served."""
+        await self.heal()
+        for done in await asyncio.gather(*self._uses, return_exceptions=True):
+            # Loads end with the router that they ran on.
+            if not isinstance(done, (asyncio.CancelledError, type(None))):
+                raise done
+        for workspace in WORKSPACES:
+            await self.write(workspace, 1)
+            status = await self._tracker.check(workspace)
+            assert status.accepted, status
+            self.accepted[workspace] = status.revision
+            for slot in list(self.routers):
+                await self.use(slot, workspace)
+
+    async def end(self):
+        """Ends all routers."""
+        for slot in list(self.routers):
+            await self._end(slot, graceful=False)
+        for task in self._uses:
+            task.cancel()
+        await asyncio.gather(*self._uses, return_exceptions=True)
+
+    async def _end(self, slot, graceful):
+        router = self.routers.pop(slot, None)
+        if router is None:
+            return
+        if graceful:
+            await router.runtime.stop()
+        else:
+            await router.runtime.abort()
+        await router.transport.close()
+
+    def _refresh_view(self, slot):
+        self.routers[slot].view.routers = tuple(
+            config_fakes.make_router_member(str(r.process), r.transport.address)
+            for r in self.routers.values()
+        )
--- a/tests/test_template.py
+++ b/tests/test_template.py
@@ -105,6 +105,6 @@
 
 
 def test_the_stored_form_is_read_back():
-    made = _template()
+    made = template_lib.TemplateRecord(_template(), "ines", "op")
     assert template_lib.decode(template_lib.encode(made)) == made
     assert isinstance(template_lib.decode(b"{"), tuple)
