Add the administration API for configuration

Cause: operators need to change templates, workspaces and access keys and to see whether a change is in force.

Ruled out: adding and revoking keys with the revision last seen; two operators who each add a key don't contradict each other, so a lost race is repeated on the new revision. Reporting a change as failed after lost replies: a compare-and-swap by revision is repeated, and its operation id tells whether it took effect; otherwise the answer says that it may have.

Before: no API.

--- /dev/null
+++ b/hibiscuspass/admin/app.py
@@ -0,0 +1,44 @@
+"""Assembles the administration API."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from hibiscuspass.admin import access
+from hibiscuspass.admin import context
+from hibiscuspass.admin import key_api
+from hibiscuspass.admin import router_api
+from hibiscuspass.admin import template_api
+from hibiscuspass.admin import workspace_api
+from hibiscuspass.settings import admin as admin_settings
+from hibiscuspass.telemetry import http
+
+_MAX_BODY_BYTES = 1_048_576
+
+
+def make_app(
+    ctx: context.AdminContext,
+    operators: tuple[admin_settings.OperatorToken, ...],
+    is_ready: Callable[[], bool] = lambda: True,
+) -> web.Application:
+    """Returns the administration API.
+
+    Args:
+      ctx: Parts of the administration program.
+      operators: Tokens that are accepted.
+      is_ready: Whether `/readyz` answers that the program is ready.
+    """
+    app = web.Application(
+        middlewares=[
+            access.answer_errors,
+            access.make_middleware(operators),
+        ],
+        client_max_size=_MAX_BODY_BYTES,
+    )
+    http.add_routes(app, is_ready)
+    workspaces = workspace_api.WorkspaceApi(ctx)
+    app.add_routes(workspaces.routes())
+    app.add_routes(key_api.KeyApi(ctx, workspaces).routes())
+    app.add_routes(template_api.TemplateApi(ctx).routes())
+    app.add_routes(router_api.RouterApi(ctx).routes())
+    return app
--- a/hibiscuspass/admin/registrations.py
+++ b/hibiscuspass/admin/registrations.py
@@ -1,6 +1,7 @@
 """Ends the registrations of routers whose VM is gone."""
 
 import asyncio
+from typing import Any
 
 import attrs
 
@@ -9,6 +10,7 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.configuration import keys
 from hibiscuspass.core.configuration import member as member_lib
+from hibiscuspass.settings import structure
 from hibiscuspass.telemetry import logs
 from hibiscuspass.telemetry import recorder as recorder_lib
 
@@ -57,6 +59,20 @@
         for found in members.entries:
             await self._compare_one(found, names)
 
+    async def list(self) -> dict[str, Any] | refusal.Refusal:
+        """Returns the registrations by `name/start_id`."""
+        read = await self._store.get_prefix(
+            keys.MEMBERS, timeout_s=self._timeout_s
+        )
+        if isinstance(read, refusal.Refusal):
+            return read
+        return {
+            found.key.removeprefix(keys.MEMBERS): structure.unstructure(
+                member_lib.decode(found.value)
+            )
+            for found in read.entries
+        }
+
     async def forget(self, process: str) -> bool | refusal.Refusal:
         """Ends a registration by an operator's decision.
 
--- a/hibiscuspass/settings/checks.py
+++ b/hibiscuspass/settings/checks.py
@@ -9,7 +9,7 @@
 Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
 
 NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-_NAME_RULE = "1 to 63 characters of a-z, 0-9 and -, not starting with -"
+NAME_RULE = "1 to 63 characters of a-z, 0-9 and -, not starting with -"
 _MAX_PORT = 65535
 
 
@@ -42,7 +42,7 @@
 
 def is_name() -> Validator:
     """Accepts names of processes, workspaces, models and the like."""
-    return _make(lambda v: NAME.fullmatch(v) is not None, _NAME_RULE)
+    return _make(lambda v: NAME.fullmatch(v) is not None, NAME_RULE)
 
 
 def is_text() -> Validator:
