--- a/hibiscuspass/settings/timeline.py
+++ b/hibiscuspass/settings/timeline.py
@@ -4,8 +4,6 @@
 
 from hibiscuspass.settings import checks
 from hibiscuspass.settings import logs
-from hibiscuspass.settings import peer_link as peer_link_lib
-from hibiscuspass.settings import process as process_lib
 from hibiscuspass.settings import vm_list as vm_list_lib
 
 
@@ -14,8 +12,7 @@
     """Everything the timeline program reads from its file.
 
     Attributes:
-      process: Identity and place.
-      peer_link: Link to the other processes.
+      fleet_key_file: File with the fleet key.
       vm_list: List of VMs, where the routers are found.
       peers: Peer links of further processes, `host:port`, for example of the
         administration program and the coordinators.
@@ -23,8 +20,7 @@
       logging: Log output.
     """
 
-    process: process_lib.ProcessSettings
-    peer_link: peer_link_lib.PeerLinkSettings
+    fleet_key_file: str = attrs.field(validator=checks.is_text())
     vm_list: vm_list_lib.VmListSettings
     peers: tuple[str, ...] = attrs.field(
         default=(), validator=checks.each(checks.is_address())
--- a/hibiscuspass/telemetry/recorder.py
+++ b/hibiscuspass/telemetry/recorder.py
@@ -25,6 +25,7 @@
     Attributes:
       clock: The process's hybrid logical clock; peer links merge received
         timestamps into it.
+      dropped: Number of events that no longer fit.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         wall_ms: Callable[[], int] = _wall_ms,
     ) -> None:
         self.clock = clock.HybridClock()
+        self.dropped = 0
         self._process = str(process)
         self._wall_ms = wall_ms
         self._events: collections.deque[event.Event] = collections.deque(
@@ -61,6 +63,7 @@
             grant_id=grant_id,
             fields=fields,
         )
+        self.dropped += len(self._events) == self._events.maxlen
         self._events.append(new)
         self._subject.on_next(new)
         return new
