--- a/hibiscuspass/settings/admin.py
+++ b/hibiscuspass/settings/admin.py
@@ -28,6 +28,20 @@
     digest: str = attrs.field(validator=checks.is_text())
 
 
+@attrs.frozen
+class Operators:
+    """File with the operators' tokens, apart from the other settings.
+
+    Attributes:
+      operators: One entry per operator, as `hibiscuspassctl keygen-operator`
+        prints it.
+    """
+
+    operators: tuple[OperatorToken, ...] = attrs.field(
+        validator=checks.unique_names()
+    )
+
+
 @attrs.frozen
 class AdminSettings:
     """Everything the administration program reads from its file.
@@ -38,7 +52,7 @@
       peer_link: Link to the routers.
       key_value: Key-value service.
       vm_list: List of VMs.
-      operators: Tokens of the operators.
+      operators_file: File with the operators' tokens; see `Operators`.
       models: Models that workspaces may name.
       services: Plain services that workspaces may name.
       router_timeout_s: Time limit of one router's answer in seconds.
@@ -50,9 +64,7 @@
     peer_link: peer_link_lib.PeerLinkSettings
     key_value: key_value_lib.KeyValueSettings
     vm_list: vm_list_lib.VmListSettings
-    operators: tuple[OperatorToken, ...] = attrs.field(
-        validator=checks.unique_names()
-    )
+    operators_file: str = attrs.field(validator=checks.is_text())
     models: tuple[models_lib.ModelSettings, ...] = attrs.field(
         default=(), validator=checks.unique_names()
     )
