--- a/hibiscuspass/backends/etcd_kv.py
+++ b/hibiscuspass/backends/etcd_kv.py
@@ -112,17 +112,6 @@
     )
 
 
-def _from_failure(path: str, failure: http_client.Failure) -> refusal.Refusal:
-    detail = f"key-value service {path}: {failure.detail}"
-    if failure.sent:
-        return refusal.Refusal(
-            reason_lib.Reason.TIMEOUT,
-            detail,
-            run=run_state.RunState.UNKNOWN,
-        )
-    return refusal.Refusal(reason_lib.Reason.UNAVAILABLE, detail)
-
-
 def _from_status(path: str, reply: http_client.Reply) -> refusal.Refusal:
     try:
         error = msgspec.json.decode(reply.body, type=_Error)
@@ -309,15 +298,14 @@
             "POST", path, body=msgspec.json.encode(body), timeout_s=timeout_s
         )
         if isinstance(reply, http_client.Failure):
-            return _from_failure(path, reply)
+            return http_client.call_refusal(f"key-value service {path}", reply)
         if reply.status != 200:
             return _from_status(path, reply)
         try:
             return msgspec.json.decode(reply.body, type=reply_type)
         except msgspec.MsgspecError as exc:
-            return _from_failure(
-                path, http_client.Failure(True, False, str(exc))
-            )
+            broken = http_client.Failure(True, False, str(exc))
+            return http_client.call_refusal(f"key-value service {path}", broken)
 
 
 def _write_op(
@@ -364,5 +352,4 @@
 
 def make_etcd_kv(address: str) -> EtcdKv:
     """Makes the adapter for a service at `host:port` or a full URL."""
-    url = address if "://" in address else f"http://{address}"
-    return EtcdKv(url)
+    return EtcdKv(http_client.base_url(address))
--- a/hibiscuspass/backends/http_client.py
+++ b/hibiscuspass/backends/http_client.py
@@ -7,12 +7,20 @@
 
 import asyncio
 from collections.abc import Mapping
+import contextlib
 import types
 
 import aiohttp
 import attrs
 
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+
+Headers = Mapping[str, str]
+
 _READ_CHUNK_BYTES = 65536
+_EXCERPT_BYTES = 200
 DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
@@ -36,7 +44,7 @@
     """A complete answer."""
 
     status: int
-    headers: Mapping[str, str]
+    headers: Headers
     body: bytes
 
 
@@ -165,7 +173,7 @@
         path: str,
         *,
         timeout_s: float,
-        headers: Mapping[str, str] | None = None,
+        headers: Headers | None = None,
         body: bytes | None = None,
     ) -> Exchange | Failure:
         """Sends a request and waits for the response headers."""
@@ -203,7 +211,7 @@
         path: str,
         *,
         timeout_s: float,
-        headers: Mapping[str, str] | None = None,
+        headers: Headers | None = None,
         body: bytes | None = None,
     ) -> Reply | Failure:
         """Sends a request and reads the whole answer."""
@@ -244,3 +252,44 @@
 
 def _text(exc: BaseException) -> str:
     return str(exc) or type(exc).__name__
+
+
+def base_url(address: str) -> str:
+    """Returns the URL for `host:port`; a full URL stays as it is."""
+    return address if "://" in address else f"http://{address}"
+
+
+def retry_after_s(headers: Headers) -> float | None:
+    """Returns the delay in a `Retry-After` header, None if there is none."""
+    with contextlib.suppress(KeyError, ValueError):
+        return max(0.0, float(headers["Retry-After"]))
+    return None
+
+
+def failure_reason(failure: Failure) -> reason_lib.Reason:
+    """Returns the reason of a failed call to a backend server."""
+    if not failure.sent:
+        return reason_lib.Reason.BACKEND_UNREACHABLE
+    if failure.timed_out:
+        return reason_lib.Reason.BACKEND_TIMEOUT
+    return reason_lib.Reason.BACKEND_LOST
+
+
+def call_refusal(system: str, failure: Failure) -> refusal.Refusal:
+    """Returns the refusal for a failed call to another external system."""
+    detail = f"{system}: {failure.detail}"
+    if failure.sent:
+        return refusal.Refusal(
+            reason_lib.Reason.TIMEOUT, detail, run_state.RunState.UNKNOWN
+        )
+    return refusal.Refusal(reason_lib.Reason.UNAVAILABLE, detail)
+
+
+def status_refusal(system: str, reply: Reply) -> refusal.Refusal:
+    """Returns the refusal for an unexpected status."""
+    excerpt = reply.body[:_EXCERPT_BYTES].decode(errors="replace")
+    return refusal.Refusal(
+        reason_lib.Reason.UNAVAILABLE,
+        f"{system}: status {reply.status} {excerpt}",
+        run_state.RunState.UNKNOWN,
+    )
--- a/hibiscuspass/backends/openai_engine.py
+++ b/hibiscuspass/backends/openai_engine.py
@@ -35,20 +35,6 @@
     evicted: tuple[int, ...] = ()
 
 
-def _outcome(failure: http_client.Failure) -> reason_lib.Reason:
-    if failure.timed_out:
-        return reason_lib.Reason.BACKEND_TIMEOUT
-    if failure.sent:
-        return reason_lib.Reason.BACKEND_LOST
-    return reason_lib.Reason.BACKEND_UNREACHABLE
-
-
-def _retry_after_s(headers: Mapping[str, str]) -> float | None:
-    with contextlib.suppress(KeyError, ValueError):
-        return max(0.0, float(headers["Retry-After"]))
-    return None
-
-
 class OpenAiEngine(engine.Engine):
     """Adapter to one engine at one address."""
 
@@ -265,7 +251,7 @@
             reason,
             detail,
             run=run,
-            retry_after_s=_retry_after_s(response.headers),
+            retry_after_s=http_client.retry_after_s(response.headers),
         )
 
     async def _cut(
@@ -326,7 +312,9 @@
         run = run_state.RunState.UNKNOWN
         if certain and not failure.sent:
             run = run_state.RunState.NO
-        return self._refuse(_outcome(failure), failure.detail, run=run)
+        return self._refuse(
+            http_client.failure_reason(failure), failure.detail, run=run
+        )
 
     def _refuse(
         self,
@@ -379,5 +367,4 @@
 
 def make_openai_engine(name: str, address: str) -> OpenAiEngine:
     """Makes the adapter for an engine at `host:port` or a full URL."""
-    url = address if "://" in address else f"http://{address}"
-    return OpenAiEngine(name, url)
+    return OpenAiEngine(name, http_client.base_url(address))
--- a/tests/test_openai_engine.py
+++ b/tests/test_openai_engine.py
@@ -8,16 +8,13 @@
 
 from hibiscuspass.backends import engine as engine_lib
 from hibiscuspass.backends import openai_engine
-from hibiscuspass.backends import prompt_blocks
 from hibiscuspass.core import reason as reason_lib
-from hibiscuspass.core import refusal
 from hibiscuspass.core import run_state
 from standins import engine as engine_stand_in
 from standins import engine_batch
-from standins import prefix_cache
 from tests import assertions
+from tests import engine_calls
 
-_TIMEOUT_S = 10.0
 _SILENCE_S = 0.2
 _TOKENS = 8
 _SETTINGS = engine_batch.BatchSettings(
@@ -41,34 +38,6 @@
     )
 
 
-def _request(request_id="r1", *, chat=True, **kwargs):
-    prompt = kwargs.pop("prompt", "hello")
-    body = {"model": kwargs.pop("model", "model-a")}
-    if chat:
-        body["messages"] = [{"role": "user", "content": prompt}]
-    else:
-        body["prompt"] = prompt
-    path = "/v1/chat/completions" if chat else "/v1/completions"
-    return engine_lib.EngineRequest(
-        request_id,
-        path,
-        {**body, **kwargs.pop("body", {})},
-        kwargs.pop("priority", 5),
-        kwargs.pop("output_limit", 100),
-    )
-
-
-async def _collect(stream):
-    async with asyncio.timeout(_TIMEOUT_S):
-        return [item async for item in stream]
-
-
-async def _run(engine, req=None, idle_timeout_s=_TIMEOUT_S):
-    return await _collect(
-        engine.complete(req or _request(), idle_timeout_s=idle_timeout_s)
-    )
-
-
 def _assert_complete(items, request_id="r1"):
     assert all(isinstance(i, engine_lib.TokenEvent) for i in items), items[-1]
     assert [i.finished for i in items] == [False] * (len(items) - 1) + [True]
@@ -94,15 +63,15 @@
 
 @pytest.mark.parametrize("chat", [True, False])
 async def test_a_completion_streams_tokens_and_ends_with_usage(engine, chat):
-    items = await _run(engine, _request(chat=chat))
+    items = await engine_calls.run(engine, engine_calls.make_request(chat=chat))
     _assert_complete(items)
     assert sum(i.tokens for i in items) == _TOKENS
 
 
 async def test_the_output_limit_overrides_the_callers_fields(engine, server):
-    items = await _run(
+    items = await engine_calls.run(
         engine,
-        _request(
+        engine_calls.make_request(
             output_limit=3,
             body={"max_tokens": 50, "max_completion_tokens": 50, "stream": 0},
         ),
@@ -122,7 +91,7 @@
     engine = await started(
         openai_engine.make_openai_engine("e1", server.address)
     )
-    items = await _run(engine)
+    items = await engine_calls.run(engine)
     _assert_complete(items)
     assert [i.tokens for i in items if i.tokens] == [3, 3, 1]
 
@@ -131,7 +100,9 @@
     engine, server
 ):
     await server.inject(extra_tokens=5)
-    items = await _run(engine, _request(output_limit=3))
+    items = await engine_calls.run(
+        engine, engine_calls.make_request(output_limit=3)
+    )
     assert list(itertools.accumulate(i.tokens for i in items))[-1] == 8
 
 
@@ -139,9 +110,9 @@
 async def test_a_resume_continues_at_the_event_and_does_not_run_again(
     engine, server, offset
 ):
-    whole = await _run(engine)
-    rest = await _collect(
-        engine.resume("r1", offset, idle_timeout_s=_TIMEOUT_S)
+    whole = await engine_calls.run(engine)
+    rest = await engine_calls.collect(
+        engine.resume("r1", offset, idle_timeout_s=engine_calls.TIMEOUT_S)
     )
     if offset == len(whole):
         # Only `[DONE]` was left.
@@ -161,9 +132,11 @@
     engine = await started(
         openai_engine.make_openai_engine("e1", server.address)
     )
-    await _run(engine)
+    await engine_calls.run(engine)
     now_s += _SETTINGS.retention_s
-    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    items = await engine_calls.collect(
+        engine.resume("r1", 0, idle_timeout_s=engine_calls.TIMEOUT_S)
+    )
     refused = assertions.assert_refused(items[0], reason_lib.Reason.NOT_FOUND)
     assert refused.run is run_state.RunState.UNKNOWN
 
@@ -186,14 +159,16 @@
     engine, server, fault, reason, tokens_seen
 ):
     await server.inject(**fault)
-    items = await _run(engine)
+    items = await engine_calls.run(engine)
     _assert_cut(items, reason_lib.Reason(reason), tokens_seen=tokens_seen)
     assert server.record()["runs"]["r1"]["starts"] == 1
 
 
 async def test_events_before_a_gap_are_relayed(engine, server):
     await server.inject(skip_event=3)
-    events = _assert_cut(await _run(engine), reason_lib.Reason.BACKEND_LOST)
+    events = _assert_cut(
+        await engine_calls.run(engine), reason_lib.Reason.BACKEND_LOST
+    )
     assert [i.index for i in events] == [0, 1, 2]
 
 
@@ -208,11 +183,11 @@
         if run.generated == 3
         else None
     )
-    items = await _run(engine, idle_timeout_s=_SILENCE_S)
+    items = await engine_calls.run(engine, idle_timeout_s=_SILENCE_S)
     events = _assert_cut(items, reason_lib.Reason.BACKEND_TIMEOUT)
     await server.inject(frozen=False)
-    rest = await _collect(
-        engine.resume("r1", len(events), idle_timeout_s=_TIMEOUT_S)
+    rest = await engine_calls.collect(
+        engine.resume("r1", len(events), idle_timeout_s=engine_calls.TIMEOUT_S)
     )
     _assert_complete([*events, *rest])
     assert server.record()["runs"]["r1"]["starts"] == 1
@@ -220,7 +195,7 @@
 
 async def test_a_refused_connection_is_certainly_not_run(engine, server):
     await server.inject(outage="refuse")
-    items = await _run(engine)
+    items = await engine_calls.run(engine)
     refused = assertions.assert_refused(
         items[0], reason_lib.Reason.BACKEND_UNREACHABLE
     )
@@ -232,10 +207,12 @@
 async def test_a_resume_never_reports_that_the_request_did_not_run(
     engine, server
 ):
-    await _run(engine)
+    await engine_calls.run(engine)
     await engine.close()
     await server.inject(outage="refuse")
-    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    items = await engine_calls.collect(
+        engine.resume("r1", 0, idle_timeout_s=engine_calls.TIMEOUT_S)
+    )
     refused = assertions.assert_refused(
         items[0], reason_lib.Reason.BACKEND_UNREACHABLE
     )
@@ -244,7 +221,7 @@
 
 async def test_a_hanging_engine_leaves_the_outcome_unknown(engine, server):
     await server.inject(outage="hang")
-    items = await _run(engine, idle_timeout_s=_SILENCE_S)
+    items = await engine_calls.run(engine, idle_timeout_s=_SILENCE_S)
     refused = assertions.assert_refused(
         items[0], reason_lib.Reason.BACKEND_TIMEOUT
     )
@@ -254,16 +231,16 @@
 @pytest.mark.parametrize(
     ("prepare", "req", "reason"),
     [
-        ({"drain": True}, _request(), "backend_refused"),
-        ({}, _request(model="other"), "backend_refused"),
-        ({}, _request(""), "invalid_request"),
+        ({"drain": True}, engine_calls.make_request(), "backend_refused"),
+        ({}, engine_calls.make_request(model="other"), "backend_refused"),
+        ({}, engine_calls.make_request(""), "invalid_request"),
     ],
 )
 async def test_a_proved_refusal_is_not_run(
     engine, server, prepare, req, reason
 ):
     await server.inject(**prepare)
-    items = await _run(engine, req)
+    items = await engine_calls.run(engine, req)
     refused = assertions.assert_refused(items[0], reason_lib.Reason(reason))
     assert refused.run is run_state.RunState.NO
     assert not server.record()["runs"]
@@ -279,7 +256,7 @@
     engine = await started(
         openai_engine.make_openai_engine("e1", server.address)
     )
-    refused = (await _run(engine))[0]
+    refused = (await engine_calls.run(engine))[0]
     assert refused.run is run_state.RunState.NO
     assert refused.retry_after_s == 1.0
 
@@ -287,9 +264,9 @@
 async def test_a_refusal_without_proof_leaves_the_outcome_unknown(
     engine, server
 ):
-    await _run(engine)
+    await engine_calls.run(engine)
     # The id is known to the engine, which therefore proves nothing.
-    items = await _run(engine)
+    items = await engine_calls.run(engine)
     refused = assertions.assert_refused(
         items[0], reason_lib.Reason.BACKEND_LOST
     )
@@ -316,14 +293,18 @@
             str(priority), {"prompt": "x"}, chat=False, priority=priority
         )
     await server.inject(frozen=False)
-    items = await _run(engine, _request(priority=0))
+    items = await engine_calls.run(
+        engine, engine_calls.make_request(priority=0)
+    )
     _assert_complete(items)
     assert order[2:] == [9, 9, 5, 5, 1, 1, 0, 0][2:]
 
 
 async def test_one_request_per_connection_at_a_time(engine, server):
     ids = [f"request-{i}" for i in range(20)]
-    streams = await asyncio.gather(*(_run(engine, _request(i)) for i in ids))
+    streams = await asyncio.gather(
+        *(engine_calls.run(engine, engine_calls.make_request(i)) for i in ids)
+    )
     for request_id, items in zip(ids, streams, strict=True):
         _assert_complete(items, request_id)
 
@@ -333,7 +314,10 @@
 ):
     for number in range(5):
         _assert_complete(
-            await _run(engine, _request(f"r{number}")), f"r{number}"
+            await engine_calls.run(
+                engine, engine_calls.make_request(f"r{number}")
+            ),
+            f"r{number}",
         )
     assert len(server._protocols()) == 1
 
@@ -341,10 +325,14 @@
 async def test_an_abandoned_stream_closes_its_connection_and_keeps_running(
     engine, server
 ):
-    stream = engine.complete(_request(), idle_timeout_s=_TIMEOUT_S)
+    stream = engine.complete(
+        engine_calls.make_request(), idle_timeout_s=engine_calls.TIMEOUT_S
+    )
     await anext(stream)
     await stream.aclose()
-    items = await _collect(engine.resume("r1", 0, idle_timeout_s=_TIMEOUT_S))
+    items = await engine_calls.collect(
+        engine.resume("r1", 0, idle_timeout_s=engine_calls.TIMEOUT_S)
+    )
     _assert_complete(items)
 
 
@@ -352,143 +340,11 @@
     server.batch.on_token = lambda run: (
         server.batch.cancel("r1") if run.generated == 3 else None
     )
-    items = await _run(engine)
+    items = await engine_calls.run(engine)
     _assert_complete(items)
     assert items[-1].usage.output_tokens == 3
-    assert await engine.cancel("r1", timeout_s=_TIMEOUT_S) is None
-    assert await engine.cancel("never seen", timeout_s=_TIMEOUT_S) is None
-
-
-async def test_the_load_report_shows_models_and_draining(engine, server):
-    report = await engine.load(timeout_s=_TIMEOUT_S)
-    assert (report.engine, report.models) == ("e1", ("model-a",))
-    assert not report.draining
-    await server.inject(drain=True)
-    assert (await engine.load(timeout_s=_TIMEOUT_S)).draining
-
-
-async def test_a_late_load_report_carries_the_time_of_its_measurement(started):
-    now_s = 1000.0
-    server = await started(engine_stand_in.EngineStandIn(wall_s=lambda: now_s))
-    engine = await started(
-        openai_engine.make_openai_engine("e1", server.address)
+    assert await engine.cancel("r1", timeout_s=engine_calls.TIMEOUT_S) is None
+    assert (
+        await engine.cancel("never seen", timeout_s=engine_calls.TIMEOUT_S)
+        is None
     )
-    await engine.load(timeout_s=_TIMEOUT_S)
-    await server.inject(load_lag_s=30.0)
-    now_s = 1030.0
-    assert (await engine.load(timeout_s=_TIMEOUT_S)).at_s == 1000.0
-
-
-async def test_cache_events_show_stored_and_evicted_blocks_and_gaps(
-    engine, server
-):
-    text = "x" * (3 * prompt_blocks.BLOCK_BYTES)
-    hashes = prompt_blocks.block_hashes(text.encode())
-    assert len(hashes) == 3
-    events = engine.cache_events()
-    pending = asyncio.create_task(anext(events))
-    # The stream starts at the next event, so events go on until one arrives.
-    for number in itertools.count():
-        await _run(
-            engine, _request(f"r{number}", chat=False, prompt=f"{number}{text}")
-        )
-        done, _ = await asyncio.wait([pending], timeout=0.01)
-        if done:
-            break
-    first = pending.result()
-    assert first.stored
-    await server.inject(drop_cache_events=1)
-    last = server.batch.cache.sequence
-    for prompt in ("a" + text, text):
-        await _run(
-            engine, _request(f"last{prompt[0]}", chat=False, prompt=prompt)
-        )
-    async for event in events:
-        if event.sequence >= last + 2:
-            break
-    assert event.sequence == last + 2
-    assert event.stored == hashes
-    await events.aclose()
-
-
-@pytest.mark.parametrize(
-    "fault",
-    [{"silence_open_connections": True}, {"frozen": True}, {"die": True}],
-    ids=str,
-)
-async def test_a_lost_cache_event_stream_ends(engine, server, fault):
-    events = engine.cache_events()
-    pending = asyncio.create_task(anext(events, None))
-    # Keep-alive comments hold the healthy stream open.
-    done, _ = await asyncio.wait([pending], timeout=_SILENCE_S * 2)
-    assert not done
-    await server.inject(**fault)
-    assert await asyncio.wait_for(pending, _TIMEOUT_S) is None
-
-
-def test_the_stand_in_hashes_blocks_as_the_adapter_does():
-    body = {"messages": [{"role": "user", "content": "y" * 2000}]}
-    prompt = prompt_blocks.prompt_bytes(body)
-    assert prompt == prefix_cache.prompt_bytes(body)
-    assert list(prompt_blocks.block_hashes(prompt)) == (
-        prefix_cache.block_hashes(prompt)
-    )
-
-
-def _order(fence, generation, role="serve"):
-    return engine_lib.Order(
-        fence, generation, {"model-b": "2"}, ("adapter-a",), role
-    )
-
-
-async def test_an_order_is_carried_out_and_reported(engine):
-    assert await engine.send_order(_order(5, 1), timeout_s=_TIMEOUT_S) is None
-    state = await engine.state(timeout_s=_TIMEOUT_S)
-    assert state == engine_lib.EngineState(
-        5, 1, {"model-b": "2"}, ("adapter-a",), "serve"
-    )
-    report = await engine.load(timeout_s=_TIMEOUT_S)
-    assert (report.models, report.adapters) == (("model-b",), ("adapter-a",))
-
-
-@pytest.mark.parametrize("ignore", [False, True])
-async def test_an_outdated_order_is_refused_unless_tokens_are_ignored(
-    engine, server, ignore
-):
-    await server.inject(ignore_fence=ignore)
-    await engine.send_order(_order(5, 1), timeout_s=_TIMEOUT_S)
-    outcome = await engine.send_order(
-        _order(4, 9, "drain"), timeout_s=_TIMEOUT_S
-    )
-    state = await engine.state(timeout_s=_TIMEOUT_S)
-    if ignore:
-        assert outcome is None
-        assert state.fence == 4
-    else:
-        assertions.assert_refused(outcome, reason_lib.Reason.STALE)
-        assert state.fence == 5
-
-
-@pytest.mark.parametrize(
-    ("fault", "reason"),
-    [
-        ({"outage": "refuse"}, reason_lib.Reason.UNAVAILABLE),
-        ({"outage": "hang"}, reason_lib.Reason.TIMEOUT),
-        ({"lose_replies": 1}, reason_lib.Reason.TIMEOUT),
-        ({"lose_replies": 1, "lost_reply": "hang"}, reason_lib.Reason.TIMEOUT),
-    ],
-    ids=str,
-)
-async def test_short_calls_report_how_they_failed(
-    engine, server, fault, reason
-):
-    for call in (
-        lambda: engine.load(timeout_s=_SILENCE_S),
-        lambda: engine.state(timeout_s=_SILENCE_S),
-        lambda: engine.cancel("r1", timeout_s=_SILENCE_S),
-        lambda: engine.send_order(_order(1, 1), timeout_s=_SILENCE_S),
-    ):
-        await server.inject(**fault)
-        outcome = await call()
-        assert isinstance(outcome, refusal.Refusal)
-        assertions.assert_refused(outcome, reason)
