Weigh the prompt work that a cache hit saves

Cause: the score counted uncached prompt tokens only once, as part of the own first token, although they delay all requests of the engine; the policy gave up hits for small differences in queues.

--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -171,11 +171,16 @@
             record.view.name, query.prompt_blocks, now_s
         )
         cached = min(query.prompt_tokens, matched * cfg.block_tokens)
-        tokens = query.prompt_tokens - cached + load.queued_tokens(now_s)
+        uncached = query.prompt_tokens - cached
+        tokens = uncached + load.queued_tokens(now_s)
         expected_s = load.slowness(now_s) * (
             cfg.base_first_token_s + tokens / cfg.prefill_rate
         ) + load.stalled_s(now_s)
-        score_s = expected_s + cfg.running_cost_s * load.requests(now_s)
+        score_s = (
+            expected_s
+            + cfg.running_cost_s * load.requests(now_s)
+            + cfg.uncached_weight * uncached / cfg.prefill_rate
+        )
         return _Candidate(record, cached, expected_s, score_s)
 
     def _has_room(self, candidate: _Candidate, now_s: float) -> bool:
