Scale the weight of prompt work with the requests in flight

Cause: with twice the load queues made differences in load larger than a fixed weight of cache hits; hits fell, work rose and queues grew further. Reason: work on an engine delays all requests in flight there, so the weight is per request in flight, averaged over the engines.

--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -27,9 +27,10 @@
       prefill_rate: Prompt tokens per second assumed of a new engine.
       running_cost_s: Part of the score per request in flight, in seconds.
       uncached_weight: Part of the score per second of prompt work that a cache
-        hit would save. Beside the request's own first token the work delays
+        hit would save and per request in flight on an average engine.
+        Beside the request's own first token the work delays
         all other requests of the engine.
-      uncached_weight: float = 3.0
+      uncached_weight: float = 0.5
     max_in_flight_per_engine: Running and waiting requests of an engine, from
         all routers, above which this router sends no more.
       max_queue_s: Expected queue of an engine above which this router sends no
@@ -54,7 +55,7 @@
     base_first_token_s: float = 0.02
     prefill_rate: float = 20_000.0
     running_cost_s: float = 0.001
-    uncached_weight: float = 3.0
+    uncached_weight: float = 0.5
     max_in_flight_per_engine: int = 256
     max_queue_s: float = 10.0
     max_report_age_s: float = 15.0
--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import math
 import random
+import statistics
 
 import attrs
 
@@ -68,7 +69,7 @@
             )
         candidates = [
             c
-            for c in (self._candidate(r, query, now_s) for r in healthy)
+            for c in self._candidates(healthy, query, now_s)
             if self._has_room(c, now_s)
         ]
         if not candidates:
@@ -159,10 +160,21 @@
         limit = math.ceil(weight * _RETURNING_IN_FLIGHT)
         return record.load.own_in_flight < limit
 
+    def _candidates(
+        self,
+        records: Sequence[engine_set.EngineRecord],
+        query: policy.RouteQuery,
+        now_s: float,
+    ) -> list[_Candidate]:
+        requests = statistics.fmean(r.load.requests(now_s) for r in records)
+        weight = self._cfg.uncached_weight * requests
+        return [self._candidate(r, query, weight, now_s) for r in records]
+
     def _candidate(
         self,
         record: engine_set.EngineRecord,
         query: policy.RouteQuery,
+        uncached_weight: float,
         now_s: float,
     ) -> _Candidate:
         cfg = self._cfg
@@ -179,7 +191,7 @@
         score_s = (
             expected_s
             + cfg.running_cost_s * load.requests(now_s)
-            + cfg.uncached_weight * uncached / cfg.prefill_rate
+            + uncached_weight * uncached / cfg.prefill_rate
         )
         return _Candidate(record, cached, expected_s, score_s)
 
