--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -3,8 +3,10 @@
 from collections.abc import Sequence
 import math
 import random
+import statistics
 
 import attrs
+import xxhash
 
 from hibiscuspass.backends import engine
 from hibiscuspass.core import reason as reason_lib
@@ -68,7 +70,7 @@
             )
         candidates = [
             c
-            for c in (self._candidate(r, query, now_s) for r in healthy)
+            for c in self._candidates(healthy, query, now_s)
             if self._has_room(c, now_s)
         ]
         if not candidates:
@@ -159,10 +161,41 @@
         limit = math.ceil(weight * _RETURNING_IN_FLIGHT)
         return record.load.own_in_flight < limit
 
+    def _candidates(
+        self,
+        records: Sequence[engine_set.EngineRecord],
+        query: policy.RouteQuery,
+        now_s: float,
+    ) -> list[_Candidate]:
+        requests = statistics.fmean(r.load.requests(now_s) for r in records)
+        weight = self._cfg.uncached_weight * requests
+        home = self._home(records, query)
+        return [
+            self._candidate(r, query, weight, r is home, now_s) for r in records
+        ]
+
+    def _home(
+        self,
+        records: Sequence[engine_set.EngineRecord],
+        query: policy.RouteQuery,
+    ) -> engine_set.EngineRecord | None:
+        """Returns the engine with the largest hash of prefix and name."""
+        leading = query.prompt_blocks[: self._cfg.home_blocks]
+        if not leading:
+            return None
+        return max(
+            records,
+            key=lambda r: xxhash.xxh64_intdigest(
+                f"{leading[-1]} {r.view.name}".encode()
+            ),
+        )
+
     def _candidate(
         self,
         record: engine_set.EngineRecord,
         query: policy.RouteQuery,
+        uncached_weight: float,
+        is_home: bool,
         now_s: float,
     ) -> _Candidate:
         cfg = self._cfg
@@ -171,11 +204,20 @@
             record.view.name, query.prompt_blocks, now_s
         )
         cached = min(query.prompt_tokens, matched * cfg.block_tokens)
-        tokens = query.prompt_tokens - cached + load.queued_tokens(now_s)
+        uncached = query.prompt_tokens - cached
+        tokens = uncached + load.queued_tokens(now_s)
         expected_s = load.slowness(now_s) * (
             cfg.base_first_token_s + tokens / cfg.prefill_rate
         ) + load.stalled_s(now_s)
-        score_s = expected_s + cfg.running_cost_s * load.requests(now_s)
+        if is_home:
+            uncached = min(
+                uncached, round(query.prompt_tokens * (1.0 - cfg.home_share))
+            )
+        score_s = (
+            expected_s
+            + cfg.running_cost_s * load.requests(now_s)
+            + uncached_weight * uncached / cfg.prefill_rate
+        )
         return _Candidate(record, cached, expected_s, score_s)
 
     def _has_room(self, candidate: _Candidate, now_s: float) -> bool:
