--- a/hibiscuspass/core/dispatch/run_plan.py
+++ b/hibiscuspass/core/dispatch/run_plan.py
@@ -166,13 +166,13 @@
 
     def on_refusal(self, refused: refusal.Refusal) -> Action:
         """Decides after a dispatch or resume ended without a final event."""
-        if refused.reason in _FAULTS_OF_THE_REQUEST and not self.prompt_run:
+        if refused.run is not run_state.RunState.NO:
+            self.on_sent()
+        if is_fault_of_request(refused) and not self.prompt_run:
             return self._failure(refused)
         if refused.reason is reason.Reason.NOT_FOUND:
             return self._elsewhere(refused)
-        if refused.run is not run_state.RunState.NO:
-            self.on_sent()
-        elif not self._sent_here:
+        if not self._sent_here:
             return self._elsewhere(refused)
         self._resumes += 1
         if self._resumes <= self._max_resumes:
--- a/hibiscuspass/router/completion_run.py
+++ b/hibiscuspass/router/completion_run.py
@@ -243,13 +243,14 @@
                 reason.Reason.NOT_FOUND,
                 f"backend {action.backend!r} is not known",
             )
+        fresh = not self.plan.prompt_run
         return await self._relay.run(
             client.resume(
                 self._ctx.request_id,
                 action.offset,
-                idle_timeout_s=self._parts.limits.first_event_s,
+                idle_timeout_s=self._relay.open_limit_s(fresh=fresh),
             ),
-            fresh=not self.plan.prompt_run,
+            fresh=fresh,
         )
 
     async def _dispatch(self, action: run_plan.Dispatch) -> _StepResult:
@@ -276,7 +277,7 @@
                     priority=self._workspace.priority,
                     output_limit=self._call.output_limit,
                 ),
-                idle_timeout_s=self._parts.limits.first_event_s,
+                idle_timeout_s=self._relay.open_limit_s(fresh=True),
             ),
             fresh=True,
         )
--- a/hibiscuspass/router/relay.py
+++ b/hibiscuspass/router/relay.py
@@ -17,6 +17,8 @@
 
 Stream = AsyncIterator[engine.TokenEvent | refusal.Refusal]
 
+_ADAPTER_MARGIN_S = 0.1
+
 
 class Ended(enum.Enum):
     """How a stream ended other than by a refusal."""
@@ -53,6 +55,12 @@
             max_s=limits.max_idle_s,
         )
 
+    def open_limit_s(self, *, fresh: bool) -> float:
+        """Returns how long the first event of a connection may take."""
+        if fresh:
+            return self._idle.first_event_limit_s()
+        return self._idle.limit_s()
+
     async def run(
         self, stream: Stream, *, fresh: bool
     ) -> Ended | refusal.Refusal:
@@ -81,9 +89,9 @@
         arm = self._interrupter.arm
         now = asyncio.get_running_loop().time
         last_s = 0.0
-        limit_s = (
-            idle_limit.first_event_limit_s() if fresh else idle_limit.limit_s()
-        )
+        # The adapter's own limit comes first, so that it also gives up idle
+        # connections, which may have gone silent together with this one.
+        limit_s = self.open_limit_s(fresh=fresh) + _ADAPTER_MARGIN_S
         arm(now() + limit_s, interrupt.Kind.SILENT_BACKEND)
         async for item in stream:
             if isinstance(item, refusal.Refusal):
--- /dev/null
+++ b/tests/test_engine_monitor.py
@@ -0,0 +1,75 @@
+"""Guards the signals that routing and membership depend on."""
+
+import asyncio
+
+from hibiscuspass.backends import engine
+from hibiscuspass.core import reason
+from hibiscuspass.core import refusal
+from hibiscuspass.router import backend_pool
+from hibiscuspass.router import engine_monitor
+from tests import backend_fakes
+from tests import router_fakes
+from tests import virtual_loop
+
+
+class _Engine(backend_fakes.FakeEngine):
+    """Reports load; the first engine never answers."""
+
+    async def load(self, *, timeout_s):
+        if self.name == "e1":
+            await asyncio.sleep(timeout_s)
+            return refusal.Refusal(reason.Reason.TIMEOUT)
+        return engine.LoadReport(
+            self.name, 0.0, 1, 0, 0, 0.0, ("m",), draining=True
+        )
+
+    async def cache_events(self):
+        yield engine.CacheEvent(self.name, 1, (7,))
+
+
+class _Routing(router_fakes.FakeRouting):
+    def __init__(self):
+        super().__init__()
+        self.loads, self.events, self.known = [], [], []
+
+    def on_load_report(self, report, now_s):
+        self.loads.append((report.engine, now_s))
+
+    def on_cache_event(self, event, now_s):
+        self.events.append(event.engine)
+
+    def on_backends(self, backends, now_s):
+        self.known = [b.name for b in backends]
+
+
+def test_silent_engine_does_not_delay_reports_of_others():
+    routing = _Routing()
+    draining: list[tuple[str, bool]] = []
+
+    async def scenario() -> None:
+        fleet = router_fakes.FakeFleet()
+        pool = backend_pool.BackendPool(
+            fleet, lambda vm: _Engine(vm.name), lambda vm: None
+        )
+        monitor = engine_monitor.EngineMonitor(
+            fleet,
+            pool,
+            routing,
+            failure_domain="fd",
+            region="r",
+            poll_interval_s=0.5,
+            report_backend=lambda name, flag: draining.append((name, flag)),
+        )
+        await monitor.start()
+        await asyncio.sleep(10)
+        await monitor.close()
+
+    virtual_loop.run(scenario())
+    assert routing.known == ["e1", "e2"]
+    times = [at_s for _, at_s in routing.loads]
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert max(gaps) < 0.6
+    assert set(draining) == {("e2", True)}
+    assert set(routing.events) == {"e1", "e2"}
+    # A lost subscription is opened again, without a busy loop.
+    assert 10 <= len(routing.events) <= 22
