--- a/tests/test_engine_monitor.py
+++ b/tests/test_engine_monitor.py
@@ -1,6 +1,7 @@
 """Guards the signals that routing and membership depend on."""
 
 import asyncio
+import itertools
 
 from hibiscuspass.backends import engine
 from hibiscuspass.core import reason
@@ -67,7 +68,7 @@
     virtual_loop.run(scenario())
     assert routing.known == ["e1", "e2"]
     times = [at_s for _, at_s in routing.loads]
-    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    gaps = [b - a for a, b in itertools.pairwise(times)]
     assert max(gaps) < 0.6
     assert set(draining) == {("e2", True)}
     assert set(routing.events) == {"e1", "e2"}
