Run models without prices without a permit

Cause: the budget core refuses a worst case of 0 units, so a model with prices of 0 could not be used. A retry that took over a permit also did not name its backend to the holder again.

Ruled out: holding one unit for a free model, because a settlement of 0 means "not run" there.

Before: `invalid_request` for such models. After: admitted and run without a permit or billing record (test).

Conclusion: keyed calls of free models are not deduplicated; refusals say `unknown`.

--- a/hibiscuspass/router/completion_run.py
+++ b/hibiscuspass/router/completion_run.py
@@ -75,6 +75,11 @@
         self._failed = isinstance(result, refusal.Refusal)
         return result
 
+    @property
+    def metered(self) -> bool:
+        """Whether the run has a permit."""
+        return self._hold is not None
+
     def must_cancel(self, *, keyed: bool) -> bool:
         """Tells whether the engine may still work for nobody.
 
--- a/hibiscuspass/router/completions.py
+++ b/hibiscuspass/router/completions.py
@@ -52,6 +52,8 @@
         if isinstance(call, refusal.Refusal):
             return accuracy.before_lookup(call, bool(ctx.key))
         self._parts.retries.on_request()
+        if call.body.worst_case == 0:
+            return await self._free(call)
         if ctx.key:
             return await self._keyed(call)
         return await self._unkeyed(call)
@@ -69,6 +71,25 @@
             return parsed
         return _Call(req, ctx, received.workspace, parsed)
 
+    async def _free(self, call: _Call) -> Answer:
+        """Runs a call of a model without prices; it needs no permit.
+
+        Without a permit there is no record of earlier attempts.
+        """
+        keyed = bool(call.ctx.key)
+        # A key can't be looked up, and engines run each request id once.
+        call.ctx.request_id = call.ctx.attempt_id
+        refused = await intake.admit(self._parts, call.ctx, call.workspace)
+        if refused is not None:
+            return accuracy.before_lookup(refused, keyed)
+        try:
+            answer = await self._run_permitted(call, None)
+        finally:
+            self._parts.admission.leave(call.ctx.attempt_id)
+        if isinstance(answer, refusal.Refusal) and keyed:
+            return accuracy.before_lookup(answer, keyed)
+        return answer
+
     async def _unkeyed(self, call: _Call) -> Answer:
         refused = await intake.admit(self._parts, call.ctx, call.workspace)
         if refused is not None:
@@ -80,7 +101,8 @@
             if isinstance(permit, permit_lib.Attach):
                 # The request id is new, so this is a fault of the holder.
                 return _attach_refusal(permit)
-            return await self._run_permitted(call, permit)
+            hold = hold_lib.Hold(self._parts.budget, permit)
+            return await self._run_permitted(call, hold)
         finally:
             self._parts.admission.leave(call.ctx.attempt_id)
 
@@ -92,7 +114,9 @@
             return await self._attach(call, permit)
         if permit.backend:
             # The request already runs, so it needs no new place.
-            return await self._run_permitted(call, permit)
+            hold = hold_lib.Hold(self._parts.budget, permit)
+            hold.mark_used(permit.backend)
+            return await self._run_permitted(call, hold)
         call.ctx.run = run_state.RunState.NO
         return await self._admit_permitted(call, permit)
 
@@ -106,7 +130,7 @@
             if refused is not None:
                 return refused
             admitted = True
-            return await self._run_permitted(call, permit, hold)
+            return await self._run_permitted(call, hold)
         finally:
             if admitted:
                 self._parts.admission.leave(call.ctx.attempt_id)
@@ -155,19 +179,17 @@
     async def _run_permitted(
         self,
         call: _Call,
-        permit: permit_lib.Permit,
-        hold: hold_lib.Hold | None = None,
+        hold: hold_lib.Hold | None,
     ) -> Answer:
-        hold = hold or hold_lib.Hold(self._parts.budget, permit)
         plan = run_plan.RunPlan(
             call.body.output_limit,
             max_dispatches=self._parts.limits.max_dispatches,
             max_resumes=self._parts.limits.max_resumes,
         )
         action: run_plan.Action = run_plan.Dispatch(frozenset(), False)
-        if permit.backend:
-            plan.on_earlier_run(permit.backend)
-            action = run_plan.Resume(permit.backend, 0)
+        if hold is not None and hold.permit.backend:
+            plan.on_earlier_run(hold.permit.backend)
+            action = run_plan.Resume(hold.permit.backend, 0)
         sink = caller_sinks.make_sink(call.req, call.ctx, call.body)
         run = self._make_run(call, plan, sink, hold)
         try:
@@ -224,7 +246,7 @@
         """Ends whatever a call left running."""
         spawn = self._parts.lifecycle.spawn
         plan = run.plan
-        if run.abandoned and call.ctx.key and plan.bytes_sent:
+        if run.abandoned and call.ctx.key and run.metered and plan.bytes_sent:
             # A retry with the key attaches to the request, so it goes on.
             spawn(asyncio.create_task(self._drain(call, run)))
             return
@@ -233,7 +255,7 @@
         else:
             # Frees the request for another attempt.
             call.ctx.after_answer.append(run.settle)
-        if run.must_cancel(keyed=bool(call.ctx.key)):
+        if run.must_cancel(keyed=bool(call.ctx.key) and run.metered):
             spawn(asyncio.create_task(run.cancel_backend(plan.backend)))
 
     async def _drain(
--- a/tests/test_completion_run.py
+++ b/tests/test_completion_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import msgspec
 import pytest
 import pytest_asyncio
@@ -220,12 +221,23 @@
     assert not router.budget.settled
 
 
+async def test_model_without_prices_runs_without_a_permit(router):
+    models = router.parts.models
+    models["m"] = attrs.evolve(models["m"], prompt_price=0, output_price=0)
+    router.engines["e1"].completions = [backend_fakes.answer("a")]
+    async with router.chat(key="k") as resp:
+        assert resp.status == 200
+    assert not router.budget.requests
+    assert not router.budget.settled
+
+
 async def test_taken_over_permit_resumes_at_its_backend(router):
     router.budget.reply = lambda req: fakes.permit(req, "e2")
     router.engines["e2"].resumes = [backend_fakes.answer("a")]
     async with router.chat(key="k") as resp:
         assert resp.status == 200
     assert router.engines["e2"].calls == [("resume", 0)]
+    assert router.budget.used == ["e2"]
     assert router.budget.settled == [(4, permit_lib.CostKind.REPORTED)]
 
 
