--- a/hibiscuspass/router/completion_run.py
+++ b/hibiscuspass/router/completion_run.py
@@ -75,6 +75,11 @@
         self._failed = isinstance(result, refusal.Refusal)
         return result
 
+    @property
+    def metered(self) -> bool:
+        """Whether the run has a permit."""
+        return self._hold is not None
+
     def must_cancel(self, *, keyed: bool) -> bool:
         """Tells whether the engine may still work for nobody.
 
@@ -243,13 +248,14 @@
                 reason.Reason.NOT_FOUND,
                 f"backend {action.backend!r} is not known",
             )
+        fresh = not self.plan.prompt_run
         return await self._relay.run(
             client.resume(
                 self._ctx.request_id,
                 action.offset,
-                idle_timeout_s=self._parts.limits.first_event_s,
+                idle_timeout_s=self._relay.open_limit_s(fresh=fresh),
             ),
-            fresh=not self.plan.prompt_run,
+            fresh=fresh,
         )
 
     async def _dispatch(self, action: run_plan.Dispatch) -> _StepResult:
@@ -276,7 +282,7 @@
                     priority=self._workspace.priority,
                     output_limit=self._call.output_limit,
                 ),
-                idle_timeout_s=self._parts.limits.first_event_s,
+                idle_timeout_s=self._relay.open_limit_s(fresh=True),
             ),
             fresh=True,
         )
