Add top-ups, budget reports and decisions on amounts in doubt

Cause: operators prepay, want a report that stays true during partitions, and settle what nobody can account for.

Before: configuration only.

--- a/hibiscuspass/admin/app.py
+++ b/hibiscuspass/admin/app.py
@@ -5,8 +5,11 @@
 from aiohttp import web
 
 from hibiscuspass.admin import access
+from hibiscuspass.admin import budget_api
 from hibiscuspass.admin import context
 from hibiscuspass.admin import key_api
+from hibiscuspass.admin import ledger_store
+from hibiscuspass.admin import report_gatherer
 from hibiscuspass.admin import router_api
 from hibiscuspass.admin import template_api
 from hibiscuspass.admin import workspace_api
@@ -18,6 +21,8 @@
 
 def make_app(
     ctx: context.AdminContext,
+    ledgers: ledger_store.LedgerStore,
+    reports: report_gatherer.ReportGatherer,
     operators: tuple[admin_settings.OperatorToken, ...],
     is_ready: Callable[[], bool] = lambda: True,
 ) -> web.Application:
@@ -25,6 +30,8 @@
 
     Args:
       ctx: Parts of the administration program.
+      ledgers: Ledgers of the workspaces.
+      reports: Makes budget reports.
       operators: Tokens that are accepted.
       is_ready: Whether `/readyz` answers that the program is ready.
     """
@@ -40,5 +47,6 @@
     app.add_routes(workspaces.routes())
     app.add_routes(key_api.KeyApi(ctx, workspaces).routes())
     app.add_routes(template_api.TemplateApi(ctx).routes())
+    app.add_routes(budget_api.BudgetApi(ctx, ledgers, reports).routes())
     app.add_routes(router_api.RouterApi(ctx).routes())
     return app
--- a/hibiscuspass/admin/registrations.py
+++ b/hibiscuspass/admin/registrations.py
@@ -16,6 +16,9 @@
 
 _log = logs.get_logger(__name__)
 
+# One read of a lagging list may lack a VM that still runs.
+_READS_UNTIL_GONE = 2
+
 
 class RegistrationJanitor:
     """Compares registrations with the VM list.
@@ -36,6 +39,8 @@
         self._vm_list = vm_list
         self._recorder = recorder
         self._timeout_s = timeout_s
+        # Reads in a row that lacked a router's VM.
+        self._absences: dict[str, int] = {}
 
     async def run(self, interval_s: float) -> None:
         """Compares at an interval until cancelled."""
@@ -102,11 +107,15 @@
         if member is None:
             _log.error("registration is malformed", router=process)
             return
-        is_listed = process.partition("/")[0] in names
-        if is_listed and not member.listed:
-            shown = attrs.evolve(member, listed=True)
-            await self._swap(found, member_lib.encode(shown))
-        if member.listed and not is_listed:
+        if process.partition("/")[0] in names:
+            self._absences.pop(process, None)
+            if not member.listed:
+                shown = attrs.evolve(member, listed=True)
+                await self._swap(found, member_lib.encode(shown))
+            return
+        self._absences[process] = self._absences.get(process, 0) + 1
+        if member.listed and self._absences[process] >= _READS_UNTIL_GONE:
+            del self._absences[process]
             await self._swap(found, None)
             _log.info("registration ended: the VM is gone", router=process)
             self._recorder.emit("config.router_gone", router=process)
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -294,6 +294,8 @@
     await janitor.compare()
     admin.vms.up, admin.vms.vms = True, ()
     await janitor.compare()
+    assert list(await janitor.list()) == ["a/1", "b/1"]
+    await janitor.compare()
     assert list(await janitor.list()) == ["b/1"]
 
 
