--- a/hibiscuspass/admin/budget_api.py
+++ b/hibiscuspass/admin/budget_api.py
@@ -124,6 +124,7 @@
         grant_id = request.match_info["grant_id"]
         body = await replies.body_of(request, Decide)
         grant = self._find(await self._gather(name), grant_id)
+        await self._check_unknown_to_routers(name, grant)
         outcome = await self._ledgers.decide(
             name, grant_id, grant.operation, body.charge
         )
@@ -139,6 +140,26 @@
         )
         return replies.reply(attrs.asdict(outcome))
 
+    async def _check_unknown_to_routers(
+        self, name: str, grant: budget_report.GrantView
+    ) -> None:
+        # A router without registration may run on a VM that is not listed
+        # yet; then other routers name it.
+        status = await self._ctx.tracker.check(name)
+        if isinstance(status, refusal.Refusal):
+            raise replies.ReplyError(replies.of_refusal(status))
+        named = {r.process for r in status.routers}
+        known = named & {grant.holder, grant.witness}
+        if known or status.unknown:
+            raise replies.ReplyError(
+                replies.error(
+                    reason.Reason.CONFLICT,
+                    f"grant {grant.grant_id!r} can't be decided:"
+                    f" {', '.join((*sorted(known), *status.unknown))}; routers"
+                    " that others still name may run",
+                )
+            )
+
     def _find(
         self, report: budget_report.BudgetReport, grant_id: str
     ) -> budget_report.GrantView:
--- a/hibiscuspass/admin/report_gatherer.py
+++ b/hibiscuspass/admin/report_gatherer.py
@@ -56,9 +56,15 @@
         """Whether an incarnation has certainly ended.
 
         A registration lasts until the graceful stop, the end of the VM, or
-        the start of the next incarnation of the name.
+        the start of the next incarnation of the name. A router without one
+        may still run on a listed VM, unless a later incarnation does.
         """
-        return self.is_complete and str(router) not in self.addresses
+        if not self.is_complete or str(router) in self.addresses:
+            return False
+        is_replaced = any(
+            p.startswith(f"{router.name}/") for p in self.addresses
+        )
+        return is_replaced or router.name not in self.addresses
 
 
 class ReportGatherer:
@@ -93,10 +99,9 @@
           router with a copy of the ledger can be reached.
         """
         # The ledger is read first: permits that a holder issued before are
-        # then part of its answer.
-        copy, fleet = await asyncio.gather(
-            self._ledgers.read(workspace), self._read_fleet()
-        )
+        # then part of its answer, and holders in it are registered by now.
+        copy = await self._ledgers.read(workspace)
+        fleet = await self._read_fleet()
         if isinstance(copy, refusal.Refusal):
             return await self._report_in_outage(workspace, fleet, copy)
         states = await self._ask_holders(copy.ledger, fleet)
