--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -4,11 +4,7 @@
 
 import defopt
 
-from benchmarks.slopes import budgets
-from benchmarks.slopes import configuration
-from benchmarks.slopes import membership
-from benchmarks.slopes import peers
-from benchmarks.slopes import routing
+from benchmarks.slopes import measure
 
 
 def main(*, as_json: bool = False) -> None:
@@ -17,8 +13,7 @@
     Args:
       as_json: Print JSON instead of a table.
     """
-    parts = (peers, budgets, configuration, routing, membership)
-    slopes = [s for part in parts for s in part.measure()]
+    slopes = measure.measure_all()
     if as_json:
         print(json.dumps({s.name: s.value for s in slopes}, indent=1))
         return
--- /dev/null
+++ b/benchmarks/slopes/measure.py
@@ -0,0 +1,14 @@
+"""Runs all measurements."""
+
+from benchmarks.slopes import budgets
+from benchmarks.slopes import configuration
+from benchmarks.slopes import membership
+from benchmarks.slopes import peers
+from benchmarks.slopes import routing
+from benchmarks.slopes import slope
+
+
+def measure_all() -> list[slope.Slope]:
+    """Returns all slopes."""
+    parts = (peers, budgets, configuration, routing, membership)
+    return [s for part in parts for s in part.measure()]
