Harden the peer transport and make late cache events exact

Cause: a review of the transport found four faults. A handler that returned an unregistered type ended its worker, so a few such replies stopped the server. A connect shared the time limit of the first caller. A request that waited for a connect at close was cancelled instead of refused. A request after close opened new links.

The late cache event test failed in its first form: the stand-in's delay also held back keep-alives, and the adapter rightly ended the stream. Delayed events now become visible by the injected clock, and keep-alives go on.

Ruled out: a test of the delay with short sleeps, which depends on the load of the machine.

--- a/hibiscuspass/peers/pynng_transport.py
+++ b/hibiscuspass/peers/pynng_transport.py
@@ -27,6 +27,9 @@
 # Longer than the gap between two heartbeats of neighbours, so that links in
 # steady use stay open.
 _DEFAULT_IDLE_CLOSE_S = 30.0
+# Longer than the time limits of requests, so that a slow connect succeeds for
+# a later request.
+_DIAL_TIMEOUT_S = 5.0
 
 
 class PynngTransport(transport.Transport):
@@ -64,6 +67,7 @@
         self._server = pynng_server.Server(
             listen, codec.max_message_bytes, max_handlers
         )
+        self._closed = False
         self._sweeper: asyncio.Task[None] | None = None
 
     def register(self, msg_type: type, handler: transport.Handler) -> None:
@@ -84,6 +88,7 @@
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
+        self._closed = True
         if self._sweeper:
             self._sweeper.cancel()
         await self._server.close()
@@ -105,9 +110,7 @@
             reply = await self._request(address, msg, deadline_s)
         outcome = "ok"
         if isinstance(reply, codec_lib.WrongRecipient):
-            reply = refusal.Refusal(
-                reason_lib.Reason.UNAVAILABLE, f"peer {address}: restarting"
-            )
+            reply = _unavailable(address, "it restarts")
         if isinstance(reply, refusal.Refusal):
             outcome = reply.reason.value
         self.metrics.requests.labels(outcome).inc()
@@ -178,31 +181,31 @@
         link = self._links.get(address)
         if link:
             return link
+        if self._closed:
+            return _unavailable(address, "this process has closed its links")
         dial = self._dialling.get(address)
         if dial is None:
-            left_s = max(0.0, deadline_s - self._monotonic_s())
-            dial = asyncio.create_task(self._dial(address, left_s))
+            dial = asyncio.create_task(self._dial(address))
             self._dialling[address] = dial
-        # The attempt is shared, so one cancelled caller must not end it.
+        left_s = max(0.0, deadline_s - self._monotonic_s())
         try:
-            async with asyncio.timeout(
-                max(0.0, deadline_s - self._monotonic_s())
-            ):
+            async with asyncio.timeout(left_s):
+                # The attempt is shared; a caller that gives up early must not
+                # end it for the others.
                 return await asyncio.shield(dial)
         except TimeoutError:
-            return refusal.Refusal(
-                reason_lib.Reason.UNAVAILABLE,
-                f"peer {address}: connect timed out",
-            )
+            return _unavailable(address, "connect timed out")
+        except asyncio.CancelledError:
+            if dial.cancelled():
+                return _unavailable(address, "this process closes its links")
+            raise
 
-    async def _dial(
-        self, address: str, timeout_s: float
-    ) -> pynng_link.Link | refusal.Refusal:
+    async def _dial(self, address: str) -> pynng_link.Link | refusal.Refusal:
         link = pynng_link.Link(address, self._codec.max_message_bytes)
         connected = False
         try:
             self.metrics.dials.inc()
-            refused = await link.connect(timeout_s)
+            refused = await link.connect(_DIAL_TIMEOUT_S)
             if refused:
                 return refused
             connected = True
@@ -249,7 +252,9 @@
                 f"message {req.name!r}: {self._process} does not handle it",
             )
         try:
-            return await handler(req.sender, req.body)
+            reply = await handler(req.sender, req.body)
+            if self._codec.registry.name_of(type(reply)) is None:
+                raise TypeError(f"reply {reply!r}: its type is not registered")
         except Exception:
             _log.exception(
                 "peer message handler failed",
@@ -260,6 +265,7 @@
                 reason_lib.Reason.TIMEOUT,
                 f"message {req.name!r}: the handler failed",
             )
+        return reply
 
     def _reply(self, req: codec_lib.Message, body: Any) -> bytes | None:
         frame = self._encode_reply(req, body)
@@ -290,6 +296,12 @@
         )
 
 
+def _unavailable(address: str, detail: str) -> refusal.Refusal:
+    return refusal.Refusal(
+        reason_lib.Reason.UNAVAILABLE, f"peer {address}: {detail}"
+    )
+
+
 def make_transport(
     process: incarnation.Incarnation,
     listen: str,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -306,13 +306,13 @@
             headers={"Content-Type": "text/event-stream"}
         )
         await response.prepare(request)
-        last = int(request.query.get("after", self.batch.cache.sequence))
+        last = max((e["sequence"] for e in self._visible_events()), default=0)
         quiet_s = 0.0
         with contextlib.suppress(ConnectionError):
             while True:
                 await self.hold(request)
                 new = [
-                    e for e in self.batch.cache.events if e["sequence"] > last
+                    e for e in self._visible_events() if e["sequence"] > last
                 ]
                 if new:
                     quiet_s = 0.0
@@ -325,10 +325,12 @@
                 quiet_s += _LOAD_INTERVAL_S
         return response
 
+    def _visible_events(self) -> list[dict[str, Any]]:
+        return self.batch.cache.visible(self.faults.cache_event_delay_s)
+
     async def _send_cache_events(
         self, response: web.StreamResponse, events: list[dict[str, Any]]
     ) -> None:
-        await asyncio.sleep(self.faults.cache_event_delay_s)
         for event in events:
             if self.faults.drop_cache_events > 0:
                 self.faults.drop_cache_events -= 1
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -56,7 +56,9 @@
         self, settings: BatchSettings, monotonic_s: Callable[[], float]
     ) -> None:
         self.settings = settings
-        self.cache = prefix_cache.PrefixCache(settings.cache_blocks)
+        self.cache = prefix_cache.PrefixCache(
+            settings.cache_blocks, monotonic_s
+        )
         self.starts: collections.Counter[str] = collections.Counter()
         self.history: dict[str, engine_run.Run] = {}
         self.runs: dict[str, engine_run.Run] = {}
--- a/standins/prefix_cache.py
+++ b/standins/prefix_cache.py
@@ -1,6 +1,7 @@
 """Prefix cache of the engine stand-in, with numbered events."""
 
 import collections
+from collections.abc import Callable
 from typing import Any
 
 import xxhash
@@ -37,12 +38,15 @@
 class PrefixCache:
     """Blocks in least-recently-used order, limited in number."""
 
-    def __init__(self, capacity_blocks: int) -> None:
+    def __init__(
+        self, capacity_blocks: int, monotonic_s: Callable[[], float]
+    ) -> None:
         self.events: collections.deque[dict[str, Any]] = collections.deque(
             maxlen=_EVENTS_KEPT
         )
         self.sequence = 0
         self._capacity = capacity_blocks
+        self._monotonic_s = monotonic_s
         self._blocks: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
@@ -73,6 +77,11 @@
             self._emit(stored, evicted)
         return hits
 
+    def visible(self, delay_s: float) -> list[dict[str, Any]]:
+        """Returns the kept events that are at least `delay_s` old."""
+        limit_s = self._monotonic_s() - delay_s
+        return [e for e in self.events if e["at_s"] <= limit_s]
+
     def clear(self) -> None:
         """Evicts everything."""
         evicted = list(self._blocks)
@@ -85,6 +94,7 @@
         self.events.append(
             {
                 "sequence": self.sequence,
+                "at_s": self._monotonic_s(),
                 "stored": stored,
                 "evicted": evicted,
             }
--- a/tests/test_engine_reports.py
+++ b/tests/test_engine_reports.py
@@ -94,6 +94,33 @@
     await events.aclose()
 
 
+async def test_a_late_cache_event_arrives_with_its_own_number(started):
+    now_s = 0.0
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=_SETTINGS, monotonic_s=lambda: now_s
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    await server.inject(cache_event_delay_s=30.0)
+    text = "z" * prompt_blocks.BLOCK_BYTES
+    await engine_calls.run(
+        engine, engine_calls.make_request(chat=False, prompt=text)
+    )
+    events = engine.cache_events()
+    pending = asyncio.create_task(anext(events))
+    done, _ = await asyncio.wait([pending], timeout=_SILENCE_S)
+    assert not done
+    now_s = 30.0
+    async with asyncio.timeout(engine_calls.TIMEOUT_S):
+        event = await pending
+    assert event.sequence == server.batch.cache.sequence == 1
+    assert event.stored == prompt_blocks.block_hashes(text.encode())
+    await events.aclose()
+
+
 @pytest.mark.parametrize(
     "fault",
     [{"silence_open_connections": True}, {"frozen": True}, {"die": True}],
--- /dev/null
+++ b/tests/test_pynng_link.py
@@ -0,0 +1,258 @@
+"""Guards connections to peers against loss, silence and slow connects."""
+
+import asyncio
+
+import pytest
+
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.peers import pynng_link
+from tests import assertions
+from tests import peer_links
+
+
+async def test_a_refused_connection_is_unavailable_at_once():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    async with peer_links.started(client):
+        async with peer_links.started(server):
+            address = server.address
+        # The long timeout shows that the refusal does not wait for it.
+        assertions.assert_refused(
+            await asyncio.wait_for(
+                client.request(address, peer_links.Echo(1), timeout_s=600),
+                peer_links.TIMEOUT_S,
+            ),
+            reason_lib.Reason.UNAVAILABLE,
+        )
+
+
+class _SilentProxy:
+    """Forwards connections; a silenced one stays open and carries nothing."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target.rpartition(":")
+        self._epoch = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def silence_open_connections(self) -> None:
+        self._epoch += 1
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader, writer) -> None:
+        host, _, port = self._target
+        up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        for source, sink in ((reader, up_writer), (up_reader, writer)):
+            task = asyncio.create_task(self._copy(source, sink, self._epoch))
+            self._tasks.add(task)
+
+    async def _copy(self, source, sink, epoch: int) -> None:
+        while data := await source.read(65536):
+            if epoch == self._epoch:
+                sink.write(data)
+        sink.close()
+
+
+async def test_a_silent_connection_is_replaced_after_a_timeout():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    server.register(peer_links.Echo, peer_links.echo)
+    async with peer_links.started(client, server):
+        proxy = _SilentProxy(server.address)
+        await proxy.start()
+        assert await client.request(
+            proxy.address, peer_links.Echo(1), timeout_s=peer_links.TIMEOUT_S
+        ) == peer_links.Echoed(1)
+        proxy.silence_open_connections()
+        assertions.assert_refused(
+            await client.request(
+                proxy.address,
+                peer_links.Echo(2),
+                timeout_s=peer_links.SILENCE_S,
+            ),
+            reason_lib.Reason.TIMEOUT,
+        )
+        assert await client.request(
+            proxy.address, peer_links.Echo(3), timeout_s=peer_links.TIMEOUT_S
+        ) == peer_links.Echoed(3)
+        await proxy.close()
+    assert peer_links.count(client.metrics.dials) == 2
+
+
+async def test_requests_are_not_resent_by_the_library():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    runs = []
+
+    async def handle(sender, msg):
+        runs.append(msg.number)
+        if msg.number == 1:
+            await asyncio.sleep(peer_links.SILENCE_S * 3)
+        return await peer_links.echo(sender, msg)
+
+    server.register(peer_links.Echo, handle)
+    async with peer_links.started(client, server):
+        assertions.assert_refused(
+            await client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.SILENCE_S,
+            ),
+            reason_lib.Reason.TIMEOUT,
+        )
+        for number in (2, 3):
+            await client.request(
+                server.address,
+                peer_links.Echo(number),
+                timeout_s=peer_links.TIMEOUT_S,
+            )
+    assert runs == [1, 2, 3]
+
+
+async def test_a_peer_that_dies_with_the_request_is_a_timeout():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    entered = asyncio.Event()
+
+    async def handle(sender, msg):
+        entered.set()
+        await asyncio.Event().wait()
+
+    server.register(peer_links.Echo, handle)
+    async with peer_links.started(client):
+        await server.start()
+        pending = asyncio.create_task(
+            client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            )
+        )
+        await entered.wait()
+        await server.close()
+        # The peer may have handled it, so this must not be UNAVAILABLE.
+        assertions.assert_refused(await pending, reason_lib.Reason.TIMEOUT)
+
+
+async def test_an_idle_link_is_closed_and_reopened_on_use():
+    now_s = 0.0
+    client = peer_links.make("a", idle_close_s=30.0, monotonic_s=lambda: now_s)
+    server = peer_links.make("b")
+    server.register(peer_links.Echo, peer_links.echo)
+    async with peer_links.started(client, server):
+        for number in range(2):
+            assert await client.request(
+                server.address,
+                peer_links.Echo(number),
+                timeout_s=peer_links.TIMEOUT_S,
+            ) == peer_links.Echoed(number)
+            now_s += 29.0
+            client.close_idle()
+            assert client.metrics.links._value.get() == 1
+            now_s += 1.0
+            client.close_idle()
+            assert client.metrics.links._value.get() == 0
+    assert peer_links.count(client.metrics.dials) == 2
+
+
+async def test_a_cancelled_request_stays_cancelled():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    entered = asyncio.Event()
+
+    async def handle(sender, msg):
+        if msg.number == 1:
+            entered.set()
+            await asyncio.Event().wait()
+        return await peer_links.echo(sender, msg)
+
+    server.register(peer_links.Echo, handle)
+    async with peer_links.started(client, server):
+        pending = asyncio.create_task(
+            client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            )
+        )
+        await entered.wait()
+        pending.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await pending
+        assert await client.request(
+            server.address, peer_links.Echo(2), timeout_s=peer_links.TIMEOUT_S
+        ) == peer_links.Echoed(2)
+    assert peer_links.count(client.metrics.dials) == 1
+
+
+async def test_a_request_after_close_is_unavailable():
+    client, server = peer_links.make("a"), peer_links.make("b")
+    server.register(peer_links.Echo, peer_links.echo)
+    async with peer_links.started(client, server):
+        await client.close()
+        assertions.assert_refused(
+            await client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            ),
+            reason_lib.Reason.UNAVAILABLE,
+        )
+
+
+async def test_a_request_waiting_for_a_connection_ends_at_close(monkeypatch):
+    client = peer_links.make("a")
+    dialling = asyncio.Event()
+
+    async def hang(link, timeout_s):
+        dialling.set()
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(pynng_link.Link, "connect", hang)
+    async with peer_links.started(client):
+        pending = asyncio.create_task(
+            client.request(
+                "127.0.0.1:1",
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            )
+        )
+        await dialling.wait()
+        await client.close()
+        assertions.assert_refused(await pending, reason_lib.Reason.UNAVAILABLE)
+
+
+async def test_a_short_time_limit_does_not_end_the_connect_for_others(
+    monkeypatch,
+):
+    client, server = peer_links.make("a"), peer_links.make("b")
+    server.register(peer_links.Echo, peer_links.echo)
+    connect = pynng_link.Link.connect
+    go_on = asyncio.Event()
+
+    async def slow(link, timeout_s):
+        await go_on.wait()
+        return await connect(link, timeout_s)
+
+    monkeypatch.setattr(pynng_link.Link, "connect", slow)
+    async with peer_links.started(client, server):
+        patient = asyncio.create_task(
+            client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            )
+        )
+        assertions.assert_refused(
+            await client.request(
+                server.address, peer_links.Echo(2), timeout_s=0.01
+            ),
+            reason_lib.Reason.UNAVAILABLE,
+        )
+        go_on.set()
+        assert await patient == peer_links.Echoed(1)
