Add a harness for tests with processes

Cause: end-to-end tests need routers and stand-ins as processes.

Ruled out: in-process routers, which can't be killed.

Before and after: no test yet; the harness starts processes by id and ends exactly these.

--- /dev/null
+++ b/tests/process_fleet.py
@@ -0,0 +1,238 @@
+"""Runs routers and stand-ins as processes on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import pathlib
+import signal
+import socket
+import sys
+from typing import Any
+
+import aiohttp
+import attrs
+import yaml
+
+from hibiscuspass.backends import etcd_kv
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core.budget import ledger as ledger_lib
+from hibiscuspass.core.budget import ledger_codec
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import record
+from hibiscuspass.core.configuration import workspace as workspace_lib
+from hibiscuspass.settings import secrets
+
+MODEL = "m"
+WORKSPACE = "ws"
+PREPAID = 1_000_000
+# Bounds waiting for a condition by the number of looks, not by time.
+_MAX_LOOKS = 600
+_LOOK_S = 0.05
+
+
+def free_port() -> int:
+    """Returns a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@attrs.define(eq=False)
+class Program:
+    """One started process."""
+
+    name: str
+    port: int
+    process: asyncio.subprocess.Process
+    log: pathlib.Path
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+    def kill(self) -> None:
+        self.process.kill()
+
+    async def terminate(self) -> int:
+        """Sends SIGTERM and returns the exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+
+class Fleet:
+    """All processes of one test."""
+
+    def __init__(
+        self, directory: pathlib.Path, session: aiohttp.ClientSession
+    ) -> None:
+        self._directory = directory
+        self.session = session
+        self.programs: dict[str, Program] = {}
+        self.access_key = ""
+        self._fleet_key = directory / "fleet.key"
+        self._fleet_key.write_text(secrets.make_fleet_key())
+
+    async def start(
+        self, name: str, module: str, port: int, *args: str
+    ) -> Program:
+        log = self._directory / f"{name}.log"
+        with log.open("ab") as out:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, *args, stdout=out, stderr=out
+            )
+        program = Program(name, port, process, log)
+        self.programs[name] = program
+        return program
+
+    async def start_stand_in(
+        self, name: str, kind: str, *args: str
+    ) -> Program:
+        port = free_port()
+        program = await self.start(
+            name, f"standins.{kind}", port, f"--port={port}", *args
+        )
+        await self.until(lambda: self._answers(program, "/record"))
+        return program
+
+    async def start_router(self, name: str, **settings: Any) -> Program:
+        """Starts a router and waits until it is ready."""
+        port, peer_port = free_port(), free_port()
+        await self.fault(
+            "vms", add=[self._vm(name, peer_port, "router", f"fd-{name}")]
+        )
+        path = self._directory / f"{name}.yaml"
+        path.write_text(
+            yaml.safe_dump(self._settings(name, port, peer_port, settings))
+        )
+        program = await self.start(
+            name, "hibiscuspass.router.main", port, f"--settings={path}"
+        )
+        await self.until(lambda: self._answers(program, "/readyz"))
+        return program
+
+    def _settings(
+        self, name: str, port: int, peer_port: int, changes: dict[str, Any]
+    ) -> dict[str, Any]:
+        return {
+            "process": {
+                "name": name,
+                "address": "127.0.0.1",
+                "failure_domain": f"fd-{name}",
+                "region": "r",
+            },
+            "listen": {"host": "127.0.0.1", "port": port},
+            "peer_link": {
+                "address": f"127.0.0.1:{peer_port}",
+                "fleet_key_file": str(self._fleet_key),
+            },
+            "key_value": {
+                "address": self.programs["kv"].url,
+                "calls_per_s": 1000,
+                "burst": 1000,
+            },
+            "vm_list": {
+                "address": self.programs["vms"].url,
+                "poll_interval_s": 0.2,
+            },
+            "models": [{"name": MODEL}],
+            "services": [{"name": "orders", "call_cost": 10}],
+            "shutdown_grace_s": 20,
+            **changes,
+        }
+
+    def _vm(
+        self,
+        name: str,
+        port: int,
+        role: str,
+        failure_domain: str = "fd-0",
+        service: str = "",
+    ) -> dict[str, str]:
+        return {
+            "name": name,
+            "address": f"127.0.0.1:{port}",
+            "failure_domain": failure_domain,
+            "region": "r",
+            "role": role,
+            "state": "live",
+            "service": service,
+        }
+
+    async def fault(self, name: str, **changes: Any) -> None:
+        """Injects faults into a stand-in."""
+        url = f"{self.programs[name].url}/faults"
+        async with self.session.post(url, json=changes) as resp:
+            assert resp.status == 200, await resp.text()
+
+    async def record(self, name: str) -> Any:
+        """Returns what a stand-in did."""
+        url = f"{self.programs[name].url}/record"
+        async with self.session.get(url) as resp:
+            return await resp.json()
+
+    async def until(self, condition: Callable[[], Any]) -> None:
+        """Waits until a condition holds."""
+        for _ in range(_MAX_LOOKS):
+            if await condition():
+                return
+            await asyncio.sleep(_LOOK_S)
+        raise AssertionError(f"not reached; logs:\n{self.logs()}")
+
+    def logs(self) -> str:
+        """Returns the ends of all logs."""
+        return "\n".join(
+            f"--- {p.name}\n{p.log.read_text()[-3000:]}"
+            for p in self.programs.values()
+        )
+
+    async def _answers(self, program: Program, path: str) -> bool:
+        assert program.process.returncode is None, self.logs()
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self.session.get(program.url + path) as resp:
+                return resp.status == 200
+        return False
+
+    async def stop(self) -> None:
+        """Ends all processes by their ids."""
+        running = [
+            p.process
+            for p in self.programs.values()
+            if p.process.returncode is None
+        ]
+        for process in running:
+            process.kill()
+        await asyncio.gather(*(process.wait() for process in running))
+
+    async def provision(self) -> None:
+        """Writes the workspace and its prepaid budget."""
+        self.access_key, stored = secrets.make_access_key(WORKSPACE)
+        workspace = workspace_lib.Workspace(
+            name=WORKSPACE,
+            models=(MODEL,),
+            services=("orders",),
+            non_repeatable=(
+                workspace_lib.NonRepeatableRule("orders", "POST", "/orders"),
+            ),
+            access_keys=(stored,),
+            solo_grant_limit=100_000,
+        )
+        led = ledger_lib.top_up(
+            ledger_lib.Ledger(WORKSPACE), "top-up-1", PREPAID
+        )
+        assert isinstance(led, ledger_lib.Ledger)
+        store = etcd_kv.make_etcd_kv(self.programs["kv"].url)
+        for key, value in (
+            (
+                keys.workspace(WORKSPACE),
+                record.encode(record.Record(workspace)),
+            ),
+            (f"ledger/{WORKSPACE}", ledger_codec.encode(led)),
+        ):
+            result = await store.compare_and_swap(
+                key, 0, value, timeout_s=10
+            )
+            assert isinstance(result, kv_store.CasResult), result
+            assert result.succeeded
+        await store.close()
