--- a/hibiscuspass/core/dispatch/completion.py
+++ b/hibiscuspass/core/dispatch/completion.py
@@ -16,6 +16,8 @@
 TEXT_PATH = "/v1/completions"
 
 _MAX_MESSAGES = 4096
+# Average of English text with the usual tokenizers.
+_BYTES_PER_TOKEN = 4
 # Fields besides the messages or the prompt whose text reaches the prompt.
 _PROMPT_FIELDS = (
     "tools",
@@ -48,6 +50,8 @@
       stream: Whether the caller asked for server-sent events.
       output_limit: Largest number of generated tokens.
       prompt_tokens: Largest possible number of prompt tokens.
+      likely_prompt_tokens: Usual number of prompt tokens for such a text; for
+        estimates of time, where the bound would refuse too much.
       worst_case: Largest possible cost in budget units.
     """
 
@@ -58,6 +62,7 @@
     stream: bool
     output_limit: int
     prompt_tokens: int
+    likely_prompt_tokens: int
     worst_case: int
 
 
@@ -230,6 +235,7 @@
 ) -> CompletionCall | refusal.Refusal:
     stream = body.get("stream", False)
     prompt_tokens = _prompt_tokens(path, body, spec)
+    likely_prompt_tokens = _likely_prompt_tokens(path, body)
     if prompt_tokens + limit > spec.context_tokens:
         # A byte bound above the context may still fit in tokens, therefore the
         # bound is lowered instead of refusing; engines refuse a longer prompt.
@@ -255,10 +261,18 @@
         stream=stream,
         output_limit=limit,
         prompt_tokens=prompt_tokens,
+        likely_prompt_tokens=min(likely_prompt_tokens, prompt_tokens),
         worst_case=cost.token_cost(spec, prompt_tokens, limit),
     )
 
 
+def _likely_prompt_tokens(path: str, body: Mapping[str, Any]) -> int:
+    prompt = body["messages"] if path == CHAT_PATH else body["prompt"]
+    if path == TEXT_PATH and isinstance(prompt, list):
+        return len(prompt)
+    return cost.text_bytes(prompt) // _BYTES_PER_TOKEN + 1
+
+
 def _prompt_tokens(
     path: str, body: Mapping[str, Any], spec: model_spec.ModelSpec
 ) -> int:
--- a/hibiscuspass/router/completion_run.py
+++ b/hibiscuspass/router/completion_run.py
@@ -293,10 +293,8 @@
             workspace=self._workspace.name,
             model=self._call.model.name,
             adapter=self._call.adapter,
-            prompt_blocks=tuple(
-                self._parts.hash_prefix(self._call.path, self._call.body)
-            ),
-            prompt_tokens=self._call.prompt_tokens,
+            prompt_blocks=tuple(self._parts.hash_prefix(self._call.body)),
+            prompt_tokens=self._call.likely_prompt_tokens,
             output_limit=self._call.output_limit,
             priority=self._workspace.priority,
             first_token_deadline_s=self._workspace.first_token_deadline_s,
--- a/hibiscuspass/router/parts.py
+++ b/hibiscuspass/router/parts.py
@@ -20,8 +20,7 @@
 from hibiscuspass.router import retry_policy
 from hibiscuspass.telemetry import recorder
 
-# Hashes the prefix blocks of a request body for a model.
-PrefixHasher = Callable[[str, Mapping[str, Any]], Sequence[int]]
+PrefixHasher = Callable[[Mapping[str, Any]], Sequence[int]]
 
 
 @attrs.frozen(eq=False)
@@ -42,7 +41,8 @@
       models: Known models by name.
       services: Known plain services by name.
       limits: Limits of the caller API.
-      hash_prefix: Hashes the prefix blocks of a prompt.
+      hash_prefix: Hashes the prefix blocks of a request body.
+      report_backend: Tells membership that a backend server refuses work.
     """
 
     config: config_source.ConfigSource
@@ -59,3 +59,4 @@
     services: Mapping[str, model_spec.ServiceSpec]
     limits: limits.Limits
     hash_prefix: PrefixHasher
+    report_backend: Callable[[str, bool], None]
--- a/hibiscuspass/router/service_calls.py
+++ b/hibiscuspass/router/service_calls.py
@@ -295,8 +295,22 @@
                 reason=outcome.reason.value,
                 run=outcome.run.value,
             )
+            self._report(call, server, outcome)
         return outcome
 
+    def _report(
+        self, call: _Call, server: str, refused: refusal.Refusal
+    ) -> None:
+        """Tells all routers of a server that refuses work.
+
+        The last one stays in use, because an overloaded server refuses too.
+        """
+        servers = self._parts.backends.service_servers(call.spec.name)
+        if refused.reason is reason.Reason.BACKEND_REFUSED and set(servers) > {
+            server
+        }:
+            self._parts.report_backend(server, True)
+
     def _emit(self, call: _Call, kind: str, **fields: Any) -> None:
         self._parts.recorder.emit(
             kind,
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -1,7 +1,6 @@
 """Runs routers and stand-ins as processes on loopback."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
 import pathlib
@@ -86,9 +85,7 @@
         self.programs[name] = program
         return program
 
-    async def start_stand_in(
-        self, name: str, kind: str, *args: str
-    ) -> Program:
+    async def start_stand_in(self, name: str, kind: str, *args: str) -> Program:
         port = free_port()
         program = await self.start(
             name, f"standins.{kind}", port, f"--port={port}", *args
@@ -230,9 +227,7 @@
             ),
             (f"ledger/{WORKSPACE}", ledger_codec.encode(led)),
         ):
-            result = await store.compare_and_swap(
-                key, 0, value, timeout_s=10
-            )
+            result = await store.compare_and_swap(key, 0, value, timeout_s=10)
             assert isinstance(result, kv_store.CasResult), result
             assert result.succeeded
         await store.close()
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -247,6 +247,7 @@
     parts: parts_lib.Parts
     api: caller_api.CallerApi
     session: aiohttp.ClientSession
+    reported: list[str]
 
     def url(self, path: str) -> str:
         return f"http://127.0.0.1:{self.api.port}{path}"
@@ -284,6 +285,7 @@
     services = {name: backend_fakes.FakeService(name) for name in ("s1", "s2")}
     kv = kv or backend_fakes.FakeKv()
     life = lifecycle.Lifecycle()
+    reported: list[str] = []
     parts = parts_lib.Parts(
         config=config,
         budget=budget,
@@ -302,7 +304,8 @@
         models={"m": model_spec.ModelSpec("m"), "x": model_spec.ModelSpec("x")},
         services={"orders": model_spec.ServiceSpec("orders")},
         limits=limits or limits_lib.Limits(),
-        hash_prefix=lambda path, body: (),
+        hash_prefix=lambda body: (),
+        report_backend=lambda name, draining: reported.append(name),
     )
     api = caller_api.CallerApi(parts)
     await api.start("127.0.0.1", 0)
@@ -319,4 +322,5 @@
         parts,
         api,
         aiohttp.ClientSession(),
+        reported,
     )
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -169,6 +169,15 @@
     assert (await _print(router, {"n": 1}))[0] == 201
 
 
+async def test_refusing_server_is_reported_to_membership(router):
+    refused = refusal.Refusal(reason.Reason.BACKEND_REFUSED, "draining")
+    router.services["s1"].outcomes = [refused] * 9
+    while not router.services["s1"].calls:
+        async with router.post("/services/orders/list", {}) as resp:
+            assert resp.status == 201
+    assert router.reported == ["s1"]
+
+
 async def test_lost_answer_is_unknown_and_never_repeated(router):
     for server in router.services.values():
         server.outcomes = [backend_fakes.lost()]
