Split the workspace holder; make a planned stop hand grants over

Ruled out: closing the primary grant and reopening it; its table recognizes retries, so the ledger now refuses to close it.

Conclusion: asks, grants and the plan of the ledger are separate parts.

--- a/hibiscuspass/core/budget/drainer.py
+++ b/hibiscuspass/core/budget/drainer.py
@@ -20,6 +20,7 @@
     def __init__(self, ctx: node_context.NodeContext) -> None:
         self._ctx = ctx
         self._turn = 0
+        self._next_at_s = float("-inf")
         self._done = False
 
     def pump(
@@ -31,14 +32,16 @@
         """Sends what is due; emits `Drained` once at the end."""
         if not self._ctx.draining or self._done:
             return
-        self._ctx.wake(
-            WAKE_KEY, self._ctx.now_s + self._ctx.timing.append_retry_s
-        )
-        for holder in holders.values():
-            for held in holder.freeze_for_handover():
-                self._hand_over(held)
-        self._turn += 1
-        if other_roles_done and not any(h.grants for h in holders.values()):
+        if self._ctx.now_s >= self._next_at_s:
+            self._next_at_s = self._ctx.now_s + self._ctx.timing.append_retry_s
+            self._turn += 1
+            for holder in holders.values():
+                for held in holder.keeper.freeze_for_handover():
+                    self._hand_over(held)
+        self._ctx.wake(WAKE_KEY, self._next_at_s)
+        if other_roles_done and not any(
+            h.state.grants for h in holders.values()
+        ):
             self._done = True
             self._ctx.out.append(actions.Drained())
 
--- a/hibiscuspass/core/budget/entry.py
+++ b/hibiscuspass/core/budget/entry.py
@@ -100,10 +100,22 @@
     @property
     def settled_everywhere(self) -> bool:
         """Whether no settlement waits for its confirmation."""
-        return not self.uses
+        return not self.uses and not self.attempts
 
     def acquire(self, req: permit_lib.PermitRequest, deadline_s: float) -> None:
         """Starts to ask for a permit."""
+        if self._ctx.draining:
+            # A keyed request may have run in an earlier attempt.
+            unknown, no = run_state.RunState.UNKNOWN, run_state.RunState.NO
+            self._decide(
+                req.attempt_id,
+                refusal.Refusal(
+                    reason_lib.Reason.SHUTTING_DOWN,
+                    "the router is stopping",
+                    unknown if req.keyed else no,
+                ),
+            )
+            return
         if req.worst_case <= 0:
             self._decide(
                 req.attempt_id,
--- a/hibiscuspass/core/budget/ledger.py
+++ b/hibiscuspass/core/budget/ledger.py
@@ -260,7 +260,15 @@
 def close(
     led: Ledger, grant_id: str, operation: str, settled: int
 ) -> Ledger | refusal.Refusal:
-    """Closes a grant, keeps its spend and returns the rest."""
+    """Closes a grant, keeps its spend and returns the rest.
+
+    The primary grant stays open, because its table recognizes retries.
+    """
+    if led.primary == grant_id:
+        return _refuse(
+            reason_lib.Reason.CONFLICT,
+            f"grant {grant_id!r} is the primary grant and stays open",
+        )
     if grant_id not in led.grants:
         return led
     g = _current(led, grant_id, operation)
@@ -275,7 +283,6 @@
         led,
         settled=led.settled + settled,
         grants={k: v for k, v in led.grants.items() if k != grant_id},
-        primary="" if led.primary == grant_id else led.primary,
     )
 
 
@@ -296,6 +303,10 @@
             reason_lib.Reason.INVALID_REQUEST,
             f"charged amount {charged}: must not be negative",
         )
+    if led.primary == grant_id:
+        # Nobody has the table any more, so the next keyed request opens
+        # another primary grant.
+        led = attrs.evolve(led, primary="")
     return close(led, grant_id, operation, logged + charged)
 
 
--- a/hibiscuspass/core/budget/node.py
+++ b/hibiscuspass/core/budget/node.py
@@ -170,6 +170,8 @@
 
     def _watch_holders(self) -> None:
         """Takes over the grants of holders that have failed."""
+        if self.ctx.draining:
+            return
         self.witness.purge()
         waiting = any(
             t.holder is not None
@@ -209,7 +211,7 @@
             table = self.witness.seal(
                 grant_id, operation, workspace, grant.holder
             )
-            self._holder(workspace).start_takeover(grant, table)
+            self._holder(workspace).keeper.start_takeover(grant, table)
 
         return check
 
@@ -254,9 +256,9 @@
     def _on_keep_reserves(self, event: events.KeepReserves) -> None:
         wanted = set(event.workspaces)
         for workspace, holder in self.holders.items():
-            holder.keeps_reserve = workspace in wanted
+            holder.state.keeps_reserve = workspace in wanted
         for workspace in wanted:
-            self._holder(workspace).keeps_reserve = True
+            self._holder(workspace).state.keeps_reserve = True
 
     def _on_drain(self, _: events.Drain) -> None:
         self.ctx.draining = True
@@ -345,14 +347,16 @@
     def _on_recalled(
         self, sender: _Sender, msg: messages.BudgetRecalled
     ) -> None:
-        self._holder(msg.workspace).on_recalled(sender)
+        self._holder(msg.workspace).desk.on_recalled(sender)
 
     def _on_hand_over(self, sender: _Sender, msg: messages.HandOver) -> None:
         def start(port: ledger_port.LedgerPort) -> None:
             led = port.ledger
             grant = None if led is None else led.grants.get(msg.grant_id)
             if grant is not None and grant.operation == msg.operation:
-                self._holder(msg.workspace).start_takeover(grant, msg.table)
+                self._holder(msg.workspace).keeper.start_takeover(
+                    grant, msg.table
+                )
 
         self._holder(msg.workspace).on_ledger(start)
         self._done(sender, msg)
@@ -360,7 +364,7 @@
     def _on_grant_query(
         self, sender: _Sender, msg: messages.GrantQuery
     ) -> None:
-        states = self._holder(msg.workspace).states()
+        states = self._holder(msg.workspace).keeper.states()
         self.ctx.send(
             sender,
             messages.GrantAnswer(
--- a/hibiscuspass/core/budget/node_context.py
+++ b/hibiscuspass/core/budget/node_context.py
@@ -12,6 +12,8 @@
 
 # A router that did not answer as a witness is tried again after this time.
 _DISTRUST_S = 5.0
+# Keeps a role that asks for a past time from calling itself without end.
+_MIN_WAKE_S = 0.001
 
 PolicyLookup = Callable[[str], workspace_lib.Workspace | None]
 
@@ -98,6 +100,7 @@
 
     def wake(self, key: str, at_s: float) -> None:
         """Asks for a call of the role named `key` at `at_s` or earlier."""
+        at_s = max(at_s, self.now_s + _MIN_WAKE_S)
         known = self._wake_at.get(key)
         if known is None or at_s < known:
             self._wake_at[key] = at_s
--- a/hibiscuspass/core/budget/permit_checks.py
+++ b/hibiscuspass/core/budget/permit_checks.py
@@ -38,7 +38,9 @@
 
     def pump(self) -> None:
         """Sends checks and settles orphans if it is time."""
-        if self._held.frozen or self._ctx.now_s < self._next_at_s:
+        if self._held.frozen:
+            return
+        if self._ctx.now_s < self._next_at_s:
             self._ctx.wake(self._held.workspace, self._next_at_s)
             return
         rows = _open_rows(self._held)
--- a/hibiscuspass/core/budget/reporter.py
+++ b/hibiscuspass/core/budget/reporter.py
@@ -84,7 +84,7 @@
             return
         self._take_ledger(g, port)
         holder = self._holder_of(g.msg.workspace)
-        own = {s.grant_id: s for s in holder.states()}
+        own = {s.grant_id: s for s in holder.keeper.states()}
         g.states.update(own)
         grants = () if g.ledger is None else g.ledger.grants.values()
         g.waiting = {x.holder for x in grants if x.holder != self._ctx.own}
@@ -103,13 +103,13 @@
         g.read_at_s = port.read_at_s
 
     def _answer(self, g: Gathering) -> None:
-        port = self._holder_of(g.msg.workspace).port
+        port = self._holder_of(g.msg.workspace).state.port
         if g.ledger is None and port.known:
             # The service can't be reached; the copy is correct for its age.
             self._take_ledger(g, port)
             g.states.update(
                 (s.grant_id, s)
-                for s in self._holder_of(g.msg.workspace).states()
+                for s in self._holder_of(g.msg.workspace).keeper.states()
             )
         self._ctx.send(g.sender, self._report(g))
 
--- /dev/null
+++ b/hibiscuspass/core/budget/workspace_state.py
@@ -0,0 +1,67 @@
+"""What the parts of a workspace's holder share."""
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import held_grant
+from hibiscuspass.core.budget import ledger_port
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node_context
+from hibiscuspass.core.budget import pending_ask
+from hibiscuspass.core.budget import takeover as takeover_lib
+
+
+class WorkspaceState:
+    """Grants, asks and the ledger of one workspace on one router.
+
+    Attributes:
+      ctx: The node's context.
+      workspace: The workspace.
+      port: The ledger.
+      grants: Held grants by id.
+      takeovers: Grants that this router is about to take over, by id.
+      pending: Asks that can't be answered yet.
+      recallers: Recalls to answer once the ledger has been read after them.
+      keeps_reserve: Whether to keep a standing reserve.
+      standing_id: Id of the standing reserve drawn last.
+      want: Amount that this router asks for in the ledger.
+      want_until_s: Time at which the want is withdrawn.
+    """
+
+    def __init__(self, ctx: node_context.NodeContext, workspace: str) -> None:
+        self.ctx = ctx
+        self.workspace = workspace
+        self.port = ledger_port.LedgerPort(ctx, workspace)
+        self.grants: dict[str, held_grant.HeldGrant] = {}
+        self.takeovers: dict[str, takeover_lib.Takeover] = {}
+        self.pending: list[pending_ask.PendingAsk] = []
+        self.recallers: list[
+            tuple[int, incarnation.Incarnation, messages.RecallBudget]
+        ] = []
+        self.keeps_reserve = False
+        self.standing_id = ""
+        self.want = 0
+        self.want_until_s = 0.0
+
+    @property
+    def is_first(self) -> bool:
+        """Whether this router is first in rendezvous order."""
+        return self.ctx.fleet.order(self.workspace)[:1] == (self.ctx.own,)
+
+    @property
+    def is_moving(self) -> bool:
+        """Whether a held grant is about to get another witness."""
+        return any(g.proposal is not None for g in self.grants.values())
+
+    def primary(self) -> held_grant.HeldGrant | None:
+        """Returns the primary grant if it is held here."""
+        led = self.port.ledger
+        return None if led is None else self.grants.get(led.primary)
+
+    def is_primary(self, held: held_grant.HeldGrant) -> bool:
+        """Whether a grant is the primary one."""
+        return self.primary() is held
+
+    def current_want(self) -> int:
+        """Returns the want, which is withdrawn after a while."""
+        if self.want and self.ctx.now_s >= self.want_until_s:
+            self.want = 0
+        return self.want
