--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -34,6 +34,12 @@
         prompt's home engine, given by a hash that all routers share. Without
         cache events it makes the routers choose the same engine.
       home_blocks: Number of leading blocks that decide the home engine.
+      queue_share: Share of the time to the deadline, less the own prompt work,
+        that the expected queue may take. The rest covers what the estimate
+        doesn't know.
+      spill_requests: If the best engine can't meet the deadline, another one is
+        taken only if it has at most this many requests in flight. Giving up
+        cache hits makes more work, so it is left to engines that are idle.
       max_in_flight_per_engine: Running and waiting requests of an engine, from
         all routers, above which this router sends no more.
       max_queue_s: Expected queue of an engine above which this router sends no
@@ -61,6 +67,8 @@
     uncached_weight: float = 0.5
     home_share: float = 0.6
     home_blocks: int = 8
+    queue_share: float = 0.3
+    spill_requests: int = 4
     max_in_flight_per_engine: int = 256
     max_queue_s: float = 10.0
     max_report_age_s: float = 15.0
--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -26,9 +26,18 @@
 class _Candidate:
     record: engine_set.EngineRecord
     cached_tokens: int
-    expected_s: float
+    own_s: float
+    queue_s: float
+    requests: float
     score_s: float
 
+    @property
+    def expected_s(self) -> float:
+        return self.own_s + self.queue_s
+
+    def meets(self, deadline_s: float, queue_share: float) -> bool:
+        return self.queue_s <= queue_share * (deadline_s - self.own_s)
+
     @property
     def name(self) -> str:
         return self.record.view.name
@@ -71,7 +80,7 @@
         candidates = [
             c
             for c in self._candidates(healthy, query, now_s)
-            if self._has_room(c, now_s)
+            if self._has_room(c)
         ]
         if not candidates:
             return refusal.Refusal(
@@ -80,21 +89,25 @@
                 "at their concurrency or queue limit",
                 retry_after_s=1.0,
             )
-        fastest_s = min(c.expected_s for c in candidates)
-        if fastest_s > query.first_token_deadline_s:
-            return refusal.Refusal(
-                reason_lib.Reason.DEADLINE,
-                f"expected first token after {fastest_s:.2f} s; the deadline "
-                f"is {query.first_token_deadline_s:.2f} s",
-                retry_after_s=fastest_s,
-            )
-        chosen = self._draw(
-            [
+        chosen = self._draw(candidates)
+        deadline_s = query.first_token_deadline_s
+        if not chosen.meets(deadline_s, self._cfg.queue_share):
+            others = [
                 c
                 for c in candidates
-                if c.expected_s <= query.first_token_deadline_s
+                if c.meets(deadline_s, self._cfg.queue_share)
+                and c.requests <= self._cfg.spill_requests
             ]
-        )
+            if not others:
+                fastest_s = min(c.expected_s for c in candidates)
+                return refusal.Refusal(
+                    reason_lib.Reason.DEADLINE,
+                    f"first token expected after {fastest_s:.2f} s at best, "
+                    "without a margin for the queue; the deadline is "
+                    f"{deadline_s:.2f} s",
+                    retry_after_s=fastest_s,
+                )
+            chosen = self._draw(others)
         return policy.Route(
             chosen.name, chosen.expected_s, chosen.cached_tokens
         )
@@ -205,31 +218,30 @@
         )
         cached = min(query.prompt_tokens, matched * cfg.block_tokens)
         uncached = query.prompt_tokens - cached
-        tokens = uncached + load.queued_tokens(now_s)
-        expected_s = load.slowness(now_s) * (
-            cfg.base_first_token_s + tokens / cfg.prefill_rate
-        ) + load.stalled_s(now_s)
+        slowness = load.slowness(now_s)
+        own_s = slowness * (
+            cfg.base_first_token_s + uncached / cfg.prefill_rate
+        )
+        queued = load.queued_tokens(now_s)
+        queue_s = slowness * queued / cfg.prefill_rate + load.stalled_s(now_s)
         if is_home:
             uncached = min(
                 uncached, round(query.prompt_tokens * (1.0 - cfg.home_share))
             )
         score_s = (
-            expected_s
+            own_s
+            + queue_s
             + cfg.running_cost_s * load.requests(now_s)
             + uncached_weight * uncached / cfg.prefill_rate
         )
-        return _Candidate(record, cached, expected_s, score_s)
-
-    def _has_room(self, candidate: _Candidate, now_s: float) -> bool:
-        load = candidate.record.load
-        queue_s = (
-            load.slowness(now_s)
-            * load.queued_tokens(now_s)
-            / self._cfg.prefill_rate
+        return _Candidate(
+            record, cached, own_s, queue_s, load.requests(now_s), score_s
         )
+
+    def _has_room(self, candidate: _Candidate) -> bool:
         return (
-            load.requests(now_s) < self._cfg.max_in_flight_per_engine
-            and queue_s < self._cfg.max_queue_s
+            candidate.requests < self._cfg.max_in_flight_per_engine
+            and candidate.queue_s < self._cfg.max_queue_s
         )
 
     def _draw(self, candidates: list[_Candidate]) -> _Candidate:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -191,3 +191,56 @@
         made.on_first_token(f"r{n}", n * 0.3 + 0.3)
         made.on_finish(f"r{n}", True, n * 0.3 + 0.3)
     assert "e0" not in _choices(made, 40, 9.0)
+
+
+def test_routers_without_cache_events_agree_on_the_home_engine():
+    """Guards against spreading a prefix over all engines after gaps."""
+    query = _query(prompt_blocks=tuple(range(200)), prompt_tokens=3200)
+    for first in range(20):
+        asked = attrs.evolve(query, prompt_blocks=(first, *range(1, 8)))
+        routers = [
+            _policy(config.RoutingConfig(seed=n, home_blocks=1))
+            for n in range(4)
+        ]
+        for made in routers:
+            for name in _ENGINES:
+                made.on_load_report(_report(name, running=10), 0.0)
+        chosen = {made.choose(asked, 0.0).backend for made in routers}
+        assert len(chosen) == 1
+
+
+def _busy_home(made: policy.RoutingPolicy, others_running: int) -> None:
+    """Gives `e0` a cached prompt and a queue of 0.5 s."""
+    made.on_cache_event(
+        engine.CacheEvent("e0", 0, stored=tuple(range(200))), 0.0
+    )
+    for name in _ENGINES:
+        made.on_load_report(_report(name, running=others_running), 0.0)
+    made.on_load_report(
+        _report("e0", running=90, queued_prompt_tokens=10_000), 0.0
+    )
+
+
+def test_idle_engine_takes_over_when_the_best_one_is_too_late():
+    made = _policy()
+    _busy_home(made, others_running=0)
+    query = _query(
+        prompt_blocks=tuple(range(200)),
+        prompt_tokens=3200,
+        first_token_deadline_s=1.0,
+    )
+    assert made.choose(query, 0.0).backend != "e0"
+
+
+def test_busy_engines_refuse_instead_of_giving_up_cache_hits():
+    """Guards against the collapse of hits and goodput in an overload."""
+    made = _policy()
+    _busy_home(made, others_running=90)
+    query = _query(
+        prompt_blocks=tuple(range(200)),
+        prompt_tokens=3200,
+        first_token_deadline_s=1.0,
+    )
+    assertions.assert_refused(
+        made.choose(query, 0.0), reason_lib.Reason.DEADLINE
+    )
