--- a/hibiscuspass/timeline/collector.py
+++ b/hibiscuspass/timeline/collector.py
@@ -75,12 +75,21 @@
         self._transport = transport
         self._addresses = tuple(dict.fromkeys(addresses))
         self._timeout_s = timeout_s
+        # Last event seen per address and query. One common position would
+        # skip events of processes whose clocks are behind.
+        self._cursors: dict[tuple[str, Query], clock.Timestamp] = {}
+
+    def set_addresses(self, addresses: Sequence[str]) -> None:
+        """Replaces the processes to ask."""
+        self._addresses = tuple(dict.fromkeys(addresses))
 
     async def collect(
         self, query: Query, after: clock.Timestamp = START
     ) -> Collection:
         """Returns the matching events of all processes that answer.
 
+        A repeated call returns events that are new since the last one.
+
         A request is followed into the grants that paid for it: events of
         those grants that belong to no single request are part of the result.
         """
@@ -110,6 +119,8 @@
         self, address: str, query: Query, after: clock.Timestamp
     ) -> Collection:
         events: list[event_lib.Event] = []
+        cursor = (address, query)
+        after = self._cursors.get(cursor, after)
         for _ in range(_MAX_REPLIES_PER_PROCESS):
             reply = await self._transport.request(
                 address,
@@ -123,9 +134,10 @@
                     tuple(events), (Gap(address, _reason_of(reply)),)
                 )
             events += reply.events
+            if reply.events:
+                after = self._cursors[cursor] = reply.events[-1].at
             if not reply.has_more:
                 return Collection(tuple(events), _dropped(reply))
-            after = reply.events[-1].at
         return Collection(
             tuple(events), (Gap(address, "too many events; narrow the query"),)
         )
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -78,6 +78,22 @@
     assert [e.kind for e in processes.collect(**query).events] == expected
 
 
+def test_following_shows_each_event_once_and_skips_none():
+    """A process whose clock is behind emits below what was shown."""
+    processes = _Processes(a=0, b=-5000)
+    client = config_fakes.FakeTransport(
+        processes.network, incarnation.Incarnation("timeline", "1"), "t:1"
+    )
+    made = collector.Collector(client, ["a:1", "b:1"], 1.0)
+    query = collector.Query()
+    kinds = []
+    for kind, name in (("one", "a"), ("two", "b"), ("three", "a")):
+        processes.recorders[name].emit(kind)
+        found = virtual_loop.run(made.collect(query))
+        kinds += [e.kind for e in found.events]
+    assert kinds == ["one", "two", "three"]
+
+
 def test_more_events_than_one_reply_holds_are_collected():
     processes = _Processes(a=0)
     count = 2 * timeline_lib.MAX_EVENTS_PER_REPLY + 1
