Add the demonstration; fix logs made before the configuration

Cause: make run needs a script, and a run of it showed log lines in the default format: loggers bound at import kept structlog's default configuration, which has no removal of secrets.

Ruled out: binding the module's name at import; initial values keep the logger lazy.

Before: loggers of modules ignored level, format and redaction.

--- a/hibiscuspass/telemetry/logs.py
+++ b/hibiscuspass/telemetry/logs.py
@@ -107,5 +107,7 @@
 
 
 def get_logger(name: str) -> Any:
-    """Returns the logger of a module."""
-    return structlog.get_logger().bind(logger=name)
+    """Returns the logger of a module; it may be called before `configure`."""
+    # Not `bind`: it would fix the configuration at the time of import, without
+    # the removal of secrets.
+    return structlog.get_logger(module=name)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,8 +5,11 @@
 import typing
 
 import attrs
+import msgspec
 import pytest
+import yaml
 
+from hibiscuspass.backends import vm_list
 from hibiscuspass.core.configuration import template as template_lib
 from hibiscuspass.core.configuration import workspace as workspace_lib
 from hibiscuspass.settings import admin
@@ -41,9 +44,14 @@
     return found
 
 
+def _load(name):
+    """Loads an example file by its class."""
+    return loader.load(_ROOT / "examples" / f"{name}.yaml", _FILES[name])
+
+
 @pytest.mark.parametrize("name", _FILES)
 def test_example_files_are_valid(name):
-    loaded = loader.load(_ROOT / "examples" / f"{name}.yaml", _FILES[name])
+    loaded = _load(name)
     assert isinstance(loaded, _FILES[name]), str(loaded)
 
 
@@ -52,7 +60,15 @@
         str(p.relative_to(_ROOT / "examples").with_suffix(""))
         for p in (_ROOT / "examples").rglob("*.yaml")
     }
-    assert found == set(_FILES)
+    assert found == {*_FILES, "inventory"}
+
+
+def test_the_example_inventory_lists_valid_vms():
+    text = (_ROOT / "examples" / "inventory.yaml").read_text()
+    vms = msgspec.convert(yaml.safe_load(text)["vms"], tuple[vm_list.Vm, ...])
+    routers = {_load("router-" + letter).peer_link.address for letter in "abc"}
+    listed = {v.address for v in vms if v.role is vm_list.VmRole.ROUTER}
+    assert listed == routers
 
 
 @pytest.mark.parametrize(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -41,6 +41,15 @@
     assert stored.key_id in text
 
 
+def test_a_logger_made_at_import_follows_the_later_configuration(output):
+    early = logs.get_logger("early")
+    logs.configure(log_settings.LoggingSettings(), "a/1")
+    early.info("header", header="Bearer plain-secret")
+    entry = json.loads(output())
+    assert entry["module"] == "early"
+    assert "plain-secret" not in str(entry)
+
+
 def test_json_entries_are_one_object_per_line(output):
     logs.configure(log_settings.LoggingSettings(), "router-a/1")
     logs.get_logger("test").info("started", port=8080)
