--- a/hibiscuspass/router/config_forwarder.py
+++ b/hibiscuspass/router/config_forwarder.py
@@ -12,6 +12,8 @@
 
 # Peers also learn by watch and poll, so the oldest may be dropped.
 _MAX_PENDING = 1000
+# Keeps messages far below the size limit of peer links.
+_MAX_ENTRIES_PER_MESSAGE = 64
 
 
 class Forwarder:
@@ -44,9 +46,12 @@
         """Sends queued changes until cancelled."""
         while True:
             await self._wanted.wait()
-            self._wanted.clear()
-            msg = messages.ConfigAnnounce(tuple(self._pending.values()))
-            self._pending.clear()
+            names = list(self._pending)[:_MAX_ENTRIES_PER_MESSAGE]
+            msg = messages.ConfigAnnounce(
+                tuple(self._pending.pop(n) for n in names)
+            )
+            if not self._pending:
+                self._wanted.clear()
             peers = self._presence.copy_addresses()
             chosen = self._random.sample(
                 peers, min(self._cfg.fanout, len(peers))
