--- a/hibiscuspass/router/intake.py
+++ b/hibiscuspass/router/intake.py
@@ -1,5 +1,7 @@
 """First steps of every call: key, readiness, body and admission."""
 
+import asyncio
+
 from aiohttp import web
 import attrs
 
@@ -29,6 +31,13 @@
     workspace = await authenticate(req, ctx, parts)
     if isinstance(workspace, refusal.Refusal):
         return workspace
+    parts.recorder.emit(
+        "request.received",
+        request_id=ctx.request_id,
+        workspace=ctx.workspace,
+        attempt_id=ctx.attempt_id,
+        keyed=bool(ctx.key),
+    )
     refused = parts.lifecycle.check_accepts() or _check_key(ctx.key)
     if refused is not None:
         return refused
@@ -66,6 +75,8 @@
     workspace: workspace_lib.Workspace,
 ) -> refusal.Refusal | None:
     """Waits for admission; the refusal of a call that did not run."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
     refused = await parts.admission.enter(
         controller.AdmissionRequest(
             request_id=ctx.attempt_id,
@@ -75,6 +86,12 @@
             deadline_s=workspace.first_token_deadline_s,
         )
     )
+    parts.recorder.emit(
+        "admission.admitted" if refused is None else "admission.refused",
+        request_id=ctx.request_id,
+        workspace=ctx.workspace,
+        waited_s=round(loop.time() - start_s, 4),
+    )
     if refused is None:
         return None
     return attrs.evolve(refused, run=run_state.RunState.NO)
