Bound the checks of a body and count text exactly

Cause: a body of many small values was walked in Python; an authenticated caller could hold up the streams of all others. The worst case also counted field names, beyond the documented bound.

Ruled out: checking in a thread, because the JSON decoder keeps the lock.

Before: about one Python step per value.

Conclusion: text and text parts count exactly, other fields with their JSON form.

--- a/hibiscuspass/core/dispatch/completion.py
+++ b/hibiscuspass/core/dispatch/completion.py
@@ -15,7 +15,12 @@
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
 
+# Bounds on the values that are checked one by one.
 _MAX_MESSAGES = 4096
+_MAX_TEXT_PARTS = 8192
+_MAX_PROMPT_TOKENS = 1_000_000
+# Longer than all roles in use; the overhead per message covers it.
+_MAX_ROLE_CHARS = 16
 # Average of English text with the usual tokenizers.
 _BYTES_PER_TOKEN = 4
 # Fields besides the messages or the prompt whose text reaches the prompt.
@@ -132,11 +137,25 @@
             f"'messages' has {len(messages)} entries,"
             f" at most {_MAX_MESSAGES} are allowed"
         )
+    parts = sum(
+        len(message["content"])
+        for message in messages
+        if isinstance(message, dict)
+        and isinstance(message.get("content"), list)
+    )
+    if parts > _MAX_TEXT_PARTS:
+        return _invalid(
+            f"'messages' have {parts} text parts,"
+            f" at most {_MAX_TEXT_PARTS} are allowed"
+        )
     for index, message in enumerate(messages):
         if not isinstance(message, dict):
             return _invalid(f"'messages[{index}]' must be an object")
-        if not isinstance(message.get("role"), str):
-            return _invalid(f"'messages[{index}].role' must be a string")
+        if not 0 < len(_role(message)) <= _MAX_ROLE_CHARS:
+            return _invalid(
+                f"'messages[{index}].role' must be 1 to"
+                f" {_MAX_ROLE_CHARS} characters"
+            )
         if not _is_text(message.get("content")):
             return _invalid(
                 f"'messages[{index}].content' must be text or text parts"
@@ -144,6 +163,11 @@
     return None
 
 
+def _role(message: dict[str, Any]) -> str:
+    role = message.get("role")
+    return role if isinstance(role, str) else ""
+
+
 def _is_text(content: Any) -> bool:
     # The tokens of an image or audio part are not bounded by its bytes.
     if content is None or isinstance(content, str):
@@ -162,7 +186,7 @@
     # Several prompts in one request would produce several outputs.
     if (
         isinstance(prompt, list)
-        and prompt
+        and 0 < len(prompt) <= _MAX_PROMPT_TOKENS
         and all(type(token) is int and token >= 0 for token in prompt)
     ):
         return None
@@ -267,12 +291,30 @@
 
 
 def _likely_prompt_tokens(path: str, body: Mapping[str, Any]) -> int:
-    prompt = body["messages"] if path == CHAT_PATH else body["prompt"]
-    if path == TEXT_PATH and isinstance(prompt, list):
+    if path == CHAT_PATH:
+        text = sum(map(_message_bytes, body["messages"]))
+        return text // _BYTES_PER_TOKEN + 1
+    prompt = body["prompt"]
+    if isinstance(prompt, list):
         return len(prompt)
     return cost.text_bytes(prompt) // _BYTES_PER_TOKEN + 1
 
 
+def _message_bytes(message: Mapping[str, Any]) -> int:
+    content = message.get("content")
+    if isinstance(content, list):
+        text = sum(cost.text_bytes(part["text"]) for part in content)
+    else:
+        text = cost.text_bytes(content)
+    # The role is part of the overhead per message.
+    rest = {
+        field: value
+        for field, value in message.items()
+        if field not in ("role", "content")
+    }
+    return text + (cost.text_bytes(rest) if rest else 0)
+
+
 def _prompt_tokens(
     path: str, body: Mapping[str, Any], spec: model_spec.ModelSpec
 ) -> int:
@@ -280,7 +322,9 @@
     if path == CHAT_PATH:
         messages = body["messages"]
         return cost.prompt_bound(
-            spec, cost.text_bytes(messages) + extra, len(messages) + 1
+            spec,
+            sum(map(_message_bytes, messages)) + extra,
+            len(messages) + 1,
         )
     prompt = body["prompt"]
     if isinstance(prompt, list):
--- a/hibiscuspass/core/dispatch/cost.py
+++ b/hibiscuspass/core/dispatch/cost.py
@@ -1,26 +1,26 @@
 """Cost of completions in budget units."""
 
-from collections.abc import Mapping
-from collections.abc import Sequence
 import math
 from typing import Any
 
+import msgspec
+
 from hibiscuspass.backends import engine
 from hibiscuspass.core.dispatch import model_spec
 
 
 def text_bytes(value: Any) -> int:
-    """Returns the UTF-8 bytes of all text in a JSON value.
+    """Returns an upper bound of the UTF-8 bytes of the text in a JSON value.
 
-    Keys and numbers count too, because tool schemas reach the prompt in full.
+    Text itself is counted exactly. Other values count with their JSON form,
+    which takes no Python step per element: a body of many small values must
+    not hold up the streams of other callers.
     """
+    if value is None:
+        return 0
     if isinstance(value, str):
         return len(value.encode("utf-8", "surrogatepass"))
-    if isinstance(value, Mapping):
-        return sum(text_bytes(k) + text_bytes(v) for k, v in value.items())
-    if isinstance(value, Sequence):
-        return sum(map(text_bytes, value))
-    return 0 if value is None else len(str(value))
+    return len(msgspec.json.encode(value))
 
 
 def prompt_bound(
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -13,8 +13,11 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core import run_state
 from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.dispatch import completion
+from hibiscuspass.core.dispatch import model_spec
 from hibiscuspass.router import http_answer
 from hibiscuspass.router import limits
+from tests import assertions
 from tests import backend_fakes
 from tests import router_fakes as fakes
 
@@ -139,6 +142,7 @@
             "invalid_request",
         ),
         ({"stream_options": 3}, "invalid_request"),
+        ({"messages": [{"role": "x" * 17}]}, "invalid_request"),
     ],
 )
 async def test_invalid_fields_cost_nothing(router, fields, code):
@@ -147,6 +151,32 @@
     _assert_no_cost(router)
 
 
+async def test_worst_case_follows_the_text(router):
+    """Guards small budgets against holds beyond the documented bound."""
+    router.engines["e1"].completions = [backend_fakes.answer("a")]
+    async with router.chat(max_tokens=7) as resp:
+        assert resp.status == 200
+    overhead = router.parts.models["m"].message_overhead_tokens
+    # One message, and one for the start of the answer.
+    assert router.budget.requests[0].worst_case == len("hi") + 2 * overhead + 7
+
+
+@pytest.mark.parametrize("count", [8193])
+def test_many_text_parts_are_refused(count):
+    """Guards other callers against bodies that take long to check."""
+    parts = [{"type": "text", "text": ""}] * count
+    body = {"model": "m", "messages": [{"role": "user", "content": parts}]}
+    assertions.assert_refused(
+        completion.parse(
+            _CHAT,
+            msgspec.json.encode(body),
+            fakes.WORKSPACE,
+            {"m": model_spec.ModelSpec("m")},
+        ),
+        reason.Reason.INVALID_REQUEST,
+    )
+
+
 async def test_stalled_body_is_refused_and_the_next_caller_served(router):
     router.engines["e1"].completions = [backend_fakes.answer("a")]
     reader, writer = await asyncio.open_connection("127.0.0.1", router.api.port)
