--- /dev/null
+++ b/hibiscuspass/router/budget_operations.py
@@ -0,0 +1,191 @@
+"""Changes that operators make to budgets, for administration programs."""
+
+from collections.abc import Callable
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.budget import billing_batch
+from hibiscuspass.core.budget import ledger as ledger_lib
+from hibiscuspass.core.budget import ledger_codec
+from hibiscuspass.core.budget import permit as permit_lib
+
+# Holders write the same key, so a lost race is common and a longer series of
+# them is not.
+_MAX_TRIES = 20
+
+_Change = Callable[[ledger_lib.Ledger], ledger_lib.Ledger | refusal.Refusal]
+
+
+async def update_ledger(
+    kv: kv_store.KvStore,
+    workspace: str,
+    change: _Change,
+    *,
+    timeout_s: float,
+) -> ledger_lib.Ledger | refusal.Refusal:
+    """Applies an idempotent change to a ledger.
+
+    After a lost reply the key is read again and the change applied to what is
+    there, so it takes effect once.
+
+    Args:
+      kv: Key-value service.
+      workspace: Workspace to change; its ledger may be absent.
+      change: Returns the next ledger, the same one if it is already applied,
+        or a refusal.
+      timeout_s: Time limit of each call in seconds.
+
+    Returns:
+      The ledger with the change; the refusal of `change`; the service's
+      refusal (after `TIMEOUT` the change may have taken effect); or `CONFLICT`
+      after many lost races.
+    """
+    key = ledger_codec.key(workspace)
+    last: refusal.Refusal | None = None
+    for _ in range(_MAX_TRIES):
+        found = await kv.get(key, timeout_s=timeout_s)
+        if isinstance(found, refusal.Refusal):
+            return last or found
+        led, revision = ledger_lib.Ledger(workspace), 0
+        if found.entries:
+            led = ledger_codec.decode(found.entries[0].value)
+            revision = found.entries[0].revision
+        new = change(led)
+        if isinstance(new, refusal.Refusal) or new == led:
+            return new
+        result = await kv.compare_and_swap(
+            key, revision, ledger_codec.encode(new), timeout_s=timeout_s
+        )
+        if isinstance(result, refusal.Refusal):
+            if result.reason is not reason_lib.Reason.TIMEOUT:
+                return last or result
+            last = result
+        elif result.succeeded:
+            return new
+    return last or refusal.Refusal(
+        reason_lib.Reason.CONFLICT,
+        f"ledger {workspace!r} changed during each of {_MAX_TRIES} tries",
+    )
+
+
+async def top_up(
+    kv: kv_store.KvStore,
+    workspace: str,
+    top_up_id: str,
+    amount: int,
+    *,
+    timeout_s: float,
+) -> ledger_lib.Ledger | refusal.Refusal:
+    """Adds prepaid units once per `top_up_id`; creates the ledger if absent."""
+    return await update_ledger(
+        kv,
+        workspace,
+        lambda led: ledger_lib.top_up(led, top_up_id, amount),
+        timeout_s=timeout_s,
+    )
+
+
+async def charge_in_doubt(
+    kv: kv_store.KvStore,
+    workspace: str,
+    grant_id: str,
+    operation: str,
+    charged: int,
+    *,
+    timeout_s: float,
+) -> ledger_lib.Ledger | refusal.Refusal:
+    """Closes a grant whose holder and witness are gone.
+
+    Writes one final billing record for `charged` units, then closes the grant.
+    The final batch has a higher epoch than the grant, so it also binds a
+    holder that was only paused. A repeated call finds the batch and only
+    closes the grant.
+
+    Args:
+      kv: Key-value service.
+      workspace: Workspace of the grant.
+      grant_id: Grant in doubt.
+      operation: Operation of the grant that the operator saw in the report.
+      charged: Units to charge beyond what the billing log already has.
+      timeout_s: Time limit of each call in seconds.
+
+    Returns:
+      The new ledger, or a refusal: `NOT_FOUND` or `STALE` if the grant is
+      closed or was taken over, `INVALID_REQUEST` for an amount out of range,
+      or the service's refusal, after which the call may be repeated.
+    """
+    found = await kv.get(ledger_codec.key(workspace), timeout_s=timeout_s)
+    if isinstance(found, refusal.Refusal):
+        return found
+    led = ledger_lib.Ledger(workspace)
+    if found.entries:
+        led = ledger_codec.decode(found.entries[0].value)
+    log = await kv.get_prefix(
+        billing_batch.prefix(workspace, grant_id), timeout_s=timeout_s
+    )
+    if isinstance(log, refusal.Refusal):
+        return log
+    batches = [billing_batch.decode(e.value) for e in log.entries]
+    logged = batches[-1].settled if batches else 0
+    if batches and _is_operators(batches[-1], grant_id):
+        charged = sum(r.cost for r in batches[-1].records)
+        logged -= charged
+    checked = ledger_lib.charge(led, grant_id, operation, logged, charged)
+    if isinstance(checked, refusal.Refusal):
+        return checked
+    if grant_id not in led.grants:
+        return refusal.Refusal(
+            reason_lib.Reason.NOT_FOUND, f"grant {grant_id!r} is not open"
+        )
+    if not (batches and _is_operators(batches[-1], grant_id)):
+        batch = _operators_batch(
+            grant_id, logged, charged, led.grants[grant_id].epoch
+        )
+        written = await kv.compare_and_swap(
+            billing_batch.key(workspace, grant_id, len(batches)),
+            0,
+            billing_batch.encode(batch),
+            timeout_s=timeout_s,
+        )
+        if isinstance(written, refusal.Refusal):
+            return written
+        if not written.succeeded:
+            return refusal.Refusal(
+                reason_lib.Reason.CONFLICT,
+                f"grant {grant_id!r} has a new billing batch; it is in use",
+            )
+    return await update_ledger(
+        kv,
+        workspace,
+        lambda present: ledger_lib.charge(
+            present, grant_id, operation, logged, charged
+        ),
+        timeout_s=timeout_s,
+    )
+
+
+def _operator_request_id(grant_id: str) -> str:
+    return f"operator:{grant_id}"
+
+
+def _is_operators(batch: billing_batch.BillingBatch, grant_id: str) -> bool:
+    return batch.final and all(
+        r.request_id == _operator_request_id(grant_id) for r in batch.records
+    )
+
+
+def _operators_batch(
+    grant_id: str, logged: int, charged: int, epoch: int
+) -> billing_batch.BillingBatch:
+    record = billing_batch.BillingRecord(
+        _operator_request_id(grant_id),
+        grant_id,
+        charged,
+        permit_lib.CostKind.ESTIMATED,
+        "operator",
+        "",
+    )
+    return billing_batch.BillingBatch(
+        (record,) if charged else (), logged + charged, epoch + 1, final=True
+    )
--- /dev/null
+++ b/hibiscuspass/router/budget_runtime.py
@@ -0,0 +1,298 @@
+"""Runs a budget node over the key-value service and the peer links."""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from typing import Any
+
+from reactivex import abc as rx_abc
+from reactivex import disposable
+from reactivex.scheduler import eventloop
+import structlog
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import events
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import node as node_lib
+from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.budget import timing as timing_lib
+from hibiscuspass.peers import transport as transport_lib
+from hibiscuspass.router import budget_service
+from hibiscuspass.router import config_source
+from hibiscuspass.router import fleet_source
+from hibiscuspass.telemetry import recorder as recorder_lib
+
+_logger = structlog.get_logger(__name__)
+
+# The node repeats what it still needs, so a longer wait only keeps resources.
+_REQUEST_TIMEOUT_S = 1.0
+_KV_TIMEOUT_S = 2.0
+# Added to the time that a holder works on an ask, for the way back.
+_ASK_MARGIN_S = 0.2
+# Sender of reports that this process asks itself for.
+_LOCAL = incarnation.Incarnation("local", "report")
+
+_Key = tuple[incarnation.Incarnation, int]
+
+
+class BudgetRuntime(budget_service.BudgetService):
+    """Interprets the actions of a budget node; one event loop, one thread."""
+
+    def __init__(
+        self,
+        node: node_lib.BudgetNode,
+        *,
+        kv: kv_store.KvStore,
+        transport: transport_lib.Transport,
+        fleet: fleet_source.FleetSource,
+        recorder: recorder_lib.Recorder,
+    ) -> None:
+        self._node = node
+        self._own = node.ctx.own
+        self._kv = kv
+        self._transport = transport
+        self._fleet = fleet
+        self._recorder = recorder
+        self._decisions: dict[str, asyncio.Future[actions.Outcome]] = {}
+        self._replies: dict[_Key, list[asyncio.Future[messages.Message]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._drained = asyncio.Event()
+        self._subscription: rx_abc.DisposableBase | None = None
+        self._timer = disposable.SerialDisposable()
+        self._wake_at_s: float | None = None
+        for msg_type in messages.REQUEST_TYPES:
+            transport.register(msg_type, self._serve)
+
+    def start(self) -> None:
+        """Follows the fleet; call inside the event loop."""
+        self._scheduler = eventloop.AsyncIOScheduler(asyncio.get_running_loop())
+        self._subscription = self._fleet.changes().subscribe(
+            on_next=lambda view: self._feed(events.FleetChanged(view))
+        )
+
+    async def close(self) -> None:
+        """Stops all activity without returning anything; see `drain`."""
+        if self._subscription is not None:
+            self._subscription.dispose()
+        self._timer.dispose()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # `BudgetService`.
+
+    async def acquire(
+        self, req: permit_lib.PermitRequest, *, timeout_s: float
+    ) -> actions.Outcome:
+        """See `BudgetService.acquire`.
+
+        Raises:
+          ValueError: The attempt id is in use.
+        """
+        if req.attempt_id in self._decisions:
+            raise ValueError(
+                f"attempt id {req.attempt_id!r} is in use; each must be new"
+            )
+        fut = asyncio.get_running_loop().create_future()
+        self._decisions[req.attempt_id] = fut
+        try:
+            self._feed(events.Acquire(req, self._now_s() + timeout_s))
+            return await fut
+        except asyncio.CancelledError:
+            self._feed(events.Cancel(req.attempt_id))
+            raise
+        finally:
+            del self._decisions[req.attempt_id]
+
+    def mark_used(self, permit: permit_lib.Permit, backend: str) -> None:
+        """See `BudgetService.mark_used`."""
+        self._feed(events.MarkUsed(permit, backend))
+
+    def settle(
+        self,
+        permit: permit_lib.Permit,
+        cost: int,
+        kind: permit_lib.CostKind,
+    ) -> None:
+        """See `BudgetService.settle`."""
+        self._feed(events.Settle(permit, cost, kind))
+
+    async def drain(self, *, timeout_s: float) -> bool:
+        """See `BudgetService.drain`."""
+        self._feed(events.Drain())
+        try:
+            await asyncio.wait_for(self._drained.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    # Further operations.
+
+    def keep_reserves(self, workspaces: Iterable[str]) -> None:
+        """Sets the workspaces whose standing reserves are looked after."""
+        self._feed(events.KeepReserves(tuple(workspaces)))
+
+    async def report(self, workspace: str) -> messages.Report | None:
+        """Returns the live state of a workspace's budget."""
+        msg = messages.ReportRequest(self._node.ctx.next_id(), workspace)
+        reply = await self._serve(_LOCAL, msg)
+        return reply if isinstance(reply, messages.Report) else None
+
+    # Internals.
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _feed(self, event: events.Event) -> None:
+        for action in self._node.handle(event, self._now_s()):
+            self._take(action)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        at_s = self._node.next_wake_s()
+        if at_s == self._wake_at_s:
+            return
+        self._wake_at_s = at_s
+        if at_s is None:
+            self._timer.disposable = disposable.Disposable()
+            return
+        self._timer.disposable = self._scheduler.schedule_relative(
+            max(0.0, at_s - self._now_s()), self._tick
+        )
+
+    def _tick(self, *_: Any) -> None:
+        self._wake_at_s = None
+        self._feed(events.Tick())
+
+    def _take(self, action: actions.Action) -> None:
+        if isinstance(action, actions.Send):
+            self._send(action)
+        elif isinstance(action, actions.KvCas):
+            self._spawn(self._cas(action))
+        elif isinstance(action, actions.KvRead):
+            self._spawn(self._read(action))
+        elif isinstance(action, actions.Decide):
+            fut = self._decisions.get(action.attempt_id)
+            if fut is not None and not fut.done():
+                fut.set_result(action.outcome)
+        elif isinstance(action, actions.Drained):
+            self._drained.set()
+        else:
+            self._recorder.emit(
+                action.kind,
+                request_id=action.request_id,
+                workspace=action.workspace,
+                grant_id=action.grant_id,
+                **action.fields,
+            )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _logger.error("budget task failed", exc_info=task.exception())
+
+    def _send(self, action: actions.Send) -> None:
+        if isinstance(action.msg, messages.Reply):
+            key = (action.to, action.msg.ask_id)
+            for fut in self._replies.pop(key, ()):
+                if not fut.done():
+                    fut.set_result(action.msg)
+        elif isinstance(action.msg, messages.Request):
+            self._spawn(self._request(action.to, action.msg))
+
+    async def _request(
+        self, to: incarnation.Incarnation, msg: messages.Request
+    ) -> None:
+        address = self._node.ctx.fleet.address(to)
+        if address is None:
+            self._feed(events.SendFailed(to, msg))
+            return
+        timeout_s = _REQUEST_TIMEOUT_S
+        if isinstance(msg, messages.Ask):
+            timeout_s = self._node.ctx.timing.ask_expiry_s + _ASK_MARGIN_S
+        reply = await self._transport.request(address, msg, timeout_s=timeout_s)
+        if not isinstance(reply, refusal.Refusal):
+            self._feed(events.Received(to, reply))
+        elif reply.reason is reason_lib.Reason.UNAVAILABLE:
+            self._feed(events.SendFailed(to, msg))
+
+    async def _serve(
+        self, sender: incarnation.Incarnation, msg: Any
+    ) -> messages.Message:
+        """Handles a peer's request; the reply may follow a later event."""
+        if isinstance(msg, messages.Request) and msg.to != self._own:
+            # Meant for an earlier incarnation, whose state is lost.
+            return messages.Done(msg.ask_id)
+        fut: asyncio.Future[messages.Message]
+        fut = asyncio.get_running_loop().create_future()
+        waiting = self._replies.setdefault((sender, msg.ask_id), [])
+        waiting.append(fut)
+        self._feed(events.Received(sender, msg))
+        timeout_s = self._node.ctx.timing.ask_expiry_s + _ASK_MARGIN_S
+        try:
+            return await asyncio.wait_for(fut, timeout_s)
+        except TimeoutError:
+            return messages.Done(msg.ask_id)
+        finally:
+            # A reply has removed the whole entry already.
+            left = self._replies.get((sender, msg.ask_id))
+            if left is not None and fut in left:
+                left.remove(fut)
+                if not left:
+                    del self._replies[sender, msg.ask_id]
+
+    async def _read(self, action: actions.KvRead) -> None:
+        result: kv_store.ReadResult | refusal.Refusal
+        try:
+            result = await self._kv.get(action.key, timeout_s=_KV_TIMEOUT_S)
+        except Exception as exc:  # An adapter's fault must not stop the node.
+            _logger.error("key-value read failed", key=action.key, exc_info=exc)
+            result = refusal.Refusal(reason_lib.Reason.TIMEOUT)
+        self._feed(events.KvReadDone(action.token, result))
+
+    async def _cas(self, action: actions.KvCas) -> None:
+        result: kv_store.CasResult | refusal.Refusal
+        try:
+            result = await self._kv.compare_and_swap(
+                action.key,
+                action.expected_revision,
+                action.value,
+                timeout_s=_KV_TIMEOUT_S,
+            )
+        except Exception as exc:  # The outcome of the write is unknown.
+            _logger.error(
+                "key-value write failed", key=action.key, exc_info=exc
+            )
+            result = refusal.Refusal(reason_lib.Reason.TIMEOUT)
+        self._feed(events.KvCasDone(action.token, result))
+
+
+def make_budget_runtime(
+    own: incarnation.Incarnation,
+    *,
+    kv: kv_store.KvStore,
+    transport: transport_lib.Transport,
+    fleet: fleet_source.FleetSource,
+    config: config_source.ConfigSource,
+    recorder: recorder_lib.Recorder,
+    timing: timing_lib.BudgetTiming | None = None,
+) -> BudgetRuntime:
+    """Returns a runtime that is ready for `start`.
+
+    Registers the handlers of `messages.REQUEST_TYPES`, so create it before
+    the transport starts.
+    """
+    node = node_lib.BudgetNode(own, config.workspace, timing)
+    return BudgetRuntime(
+        node, kv=kv, transport=transport, fleet=fleet, recorder=recorder
+    )
