Bound memory and work of the routing policy in large fleets

After: the index has a bound over all engines; engines are kept by model; at most 64 engines are scored per request.

--- a/hibiscuspass/core/routing/baselines.py
+++ b/hibiscuspass/core/routing/baselines.py
@@ -101,7 +101,9 @@
     def __init__(self, cfg: config.RoutingConfig) -> None:
         super().__init__(cfg)
         self._index = prefix_index.PrefixIndex(
-            cfg.index_entries_per_engine, cfg.index_entry_ttl_s
+            cfg.index_entries,
+            cfg.index_entries_per_engine,
+            cfg.index_entry_ttl_s,
         )
 
     def _pick(
--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -15,9 +15,13 @@
       failure_domain: Failure domain of this router.
       seed: Seed of the random choices; differs between routers.
       block_tokens: Prompt tokens per prefix block.
-      index_entries_per_engine: Bound of the prefix index.
+      index_entries: Bound of the prefix index over all engines; an entry takes
+        about 200 bytes.
+      index_entries_per_engine: Bound of the prefix index per engine.
       index_entry_ttl_s: Age at which an unconfirmed index entry is dropped, in
         seconds.
+      max_scored: Engines that are scored per request. Of more engines, those
+        that may have the prefix, the home engine and a random sample are.
       best_candidates: Number of best engines that two are drawn from.
       candidate_slack_s: Candidates are at most this much slower than the best
         engine, in seconds.
@@ -56,8 +60,10 @@
     failure_domain: str = ""
     seed: int = 0
     block_tokens: int = 16
+    index_entries: int = 100_000
     index_entries_per_engine: int = 50_000
     index_entry_ttl_s: float = 120.0
+    max_scored: int = 64
     best_candidates: int = 3
     candidate_slack_s: float = 0.05
     near_tie_s: float = 0.005
--- a/hibiscuspass/core/routing/engine_set.py
+++ b/hibiscuspass/core/routing/engine_set.py
@@ -10,6 +10,9 @@
 from hibiscuspass.core.routing import engine_load
 from hibiscuspass.core.routing import policy
 
+# Bounds the memory of lists by model and adapter, which callers can name.
+_MAX_SERVING = 256
+
 
 @attrs.define
 class EngineRecord:
@@ -40,9 +43,12 @@
         self._memory_s = memory_s
         self._offset_s = unix_minus_monotonic_s
         self.records: dict[str, EngineRecord] = {}
+        # Engines by model and adapter, rebuilt after a change.
+        self._serving: dict[tuple[str, str], list[EngineRecord]] = {}
 
     def on_backends(self, backends: Sequence[policy.BackendView]) -> None:
         """Replaces the set; kept engines keep their load."""
+        self._serving = {}
         old = self.records
         self.records = {
             view.name: EngineRecord(
@@ -61,15 +67,29 @@
         taken as measured now.
         """
         record = self.records.get(report.engine)
-        if record is not None:
-            measured_s = min(now_s, report.at_s - self._offset_s)
-            record.load.on_report(report, measured_s)
+        if record is None:
+            return
+        old = record.load.report
+        measured_s = min(now_s, report.at_s - self._offset_s)
+        record.load.on_report(report, measured_s)
+        if (
+            old is None
+            or old.models != report.models
+            or old.adapters != report.adapters
+        ):
+            self._serving = {}
 
     def eligible(
         self, query: policy.RouteQuery
     ) -> list[EngineRecord] | refusal.Refusal:
         """Returns the engines that may serve a request, at least one."""
-        serving = [r for r in self.records.values() if r.serves(query)]
+        key = (query.model, query.adapter)
+        serving = self._serving.get(key)
+        if serving is None:
+            serving = [r for r in self.records.values() if r.serves(query)]
+            if len(self._serving) >= _MAX_SERVING:
+                self._serving = {}
+            self._serving[key] = serving
         if not serving:
             return refusal.Refusal(
                 reason_lib.Reason.NO_BACKEND,
--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -57,7 +57,9 @@
             cfg.max_report_age_s, cfg.unix_minus_monotonic_s
         )
         self._index = prefix_index.PrefixIndex(
-            cfg.index_entries_per_engine, cfg.index_entry_ttl_s
+            cfg.index_entries,
+            cfg.index_entries_per_engine,
+            cfg.index_entry_ttl_s,
         )
         self._ejection = ejection.EjectionTracker(cfg.ejection, self._rng)
         self._sent_to: dict[str, str] = {}
@@ -180,13 +182,37 @@
         query: policy.RouteQuery,
         now_s: float,
     ) -> list[_Candidate]:
+        home = self._home(records, query)
+        records = self._sample(records, home, query, now_s)
         requests = statistics.fmean(r.load.requests(now_s) for r in records)
         weight = self._cfg.uncached_weight * requests
-        home = self._home(records, query)
         return [
             self._candidate(r, query, weight, r is home, now_s) for r in records
         ]
 
+    def _sample(
+        self,
+        records: Sequence[engine_set.EngineRecord],
+        home: engine_set.EngineRecord | None,
+        query: policy.RouteQuery,
+        now_s: float,
+    ) -> Sequence[engine_set.EngineRecord]:
+        """Bounds the work per request in large fleets."""
+        bound = self._cfg.max_scored
+        if len(records) <= bound:
+            return records
+        first = query.prompt_blocks[:1]
+        hits = [
+            r
+            for r in records
+            if self._index.matched_blocks(r.view.name, first, now_s)
+        ]
+        picked = self._rng.sample(hits, min(len(hits), bound // 2))
+        picked += self._rng.sample(records, bound - len(picked) - 1)
+        if home is not None:
+            picked.append(home)
+        return list({r.view.name: r for r in picked}.values())
+
     def _home(
         self,
         records: Sequence[engine_set.EngineRecord],
--- a/hibiscuspass/core/routing/prefix_index.py
+++ b/hibiscuspass/core/routing/prefix_index.py
@@ -21,15 +21,25 @@
 class PrefixIndex:
     """Hints from late and gappy cache events, in bounded memory."""
 
-    def __init__(self, max_entries_per_engine: int, ttl_s: float) -> None:
-        self._max_entries = max_entries_per_engine
+    def __init__(
+        self, max_entries: int, max_entries_per_engine: int, ttl_s: float
+    ) -> None:
+        self._max_entries = max_entries
+        self._max_entries_per_engine = max_entries_per_engine
         self._ttl_s = ttl_s
         self._engines: dict[str, _EngineBlocks] = {}
+        # Engines that have had entries, to find the largest one.
+        self._filled: dict[str, _EngineBlocks] = {}
 
     def retain(self, engines: Iterable[str]) -> None:
         """Sets the known engines and forgets all others."""
         self._engines = {
-            name: self._engines.get(name, _EngineBlocks()) for name in engines
+            name: self._engines.get(name) or _EngineBlocks() for name in engines
+        }
+        self._filled = {
+            name: blocks
+            for name, blocks in self._engines.items()
+            if blocks.seen_s
         }
 
     def on_event(self, event: engine.CacheEvent, now_s: float) -> None:
@@ -46,14 +56,14 @@
             if event.sequence == 0:
                 blocks.seen_s.clear()
                 blocks.next_sequence = 1
-                self._add(blocks, event.stored, now_s)
+                self._add(event.engine, blocks, event.stored, now_s)
             return
         if expected is not None and event.sequence > expected:
             blocks.seen_s.clear()
         blocks.next_sequence = event.sequence + 1
         for block in event.evicted:
             blocks.seen_s.pop(block, None)
-        self._add(blocks, event.stored, now_s)
+        self._add(event.engine, blocks, event.stored, now_s)
 
     def on_dispatch(
         self, engine_name: str, prefix: Sequence[int], now_s: float
@@ -61,12 +71,7 @@
         """Notes that an engine will soon have these blocks."""
         blocks = self._engines.get(engine_name)
         if blocks is not None:
-            self._add(blocks, prefix, now_s)
-
-    def reset(self, engine_name: str) -> None:
-        """Drops all entries of an engine."""
-        if engine_name in self._engines:
-            self._engines[engine_name] = _EngineBlocks()
+            self._add(engine_name, blocks, prefix, now_s)
 
     def matched_blocks(
         self, engine_name: str, prefix: Sequence[int], now_s: float
@@ -82,19 +87,31 @@
                 return count
         return len(prefix)
 
-    def entries(self, engine_name: str) -> int:
-        """Returns the number of entries kept for an engine."""
-        blocks = self._engines.get(engine_name)
-        return len(blocks.seen_s) if blocks else 0
+    def entries(self) -> int:
+        """Returns the number of entries of all engines."""
+        return sum(len(b.seen_s) for b in self._filled.values())
 
     def _add(
-        self, blocks: _EngineBlocks, added: Iterable[int], now_s: float
+        self,
+        engine_name: str,
+        blocks: _EngineBlocks,
+        added: Iterable[int],
+        now_s: float,
     ) -> None:
         for block in added:
             blocks.seen_s[block] = now_s
             blocks.seen_s.move_to_end(block)
-        while len(blocks.seen_s) > self._max_entries or (
+        if not blocks.seen_s:
+            return
+        self._filled[engine_name] = blocks
+        while len(blocks.seen_s) > self._max_entries_per_engine or (
             blocks.seen_s
             and next(iter(blocks.seen_s.values())) < now_s - self._ttl_s
         ):
             blocks.seen_s.popitem(last=False)
+        excess = self.entries() - self._max_entries
+        while excess > 0:
+            largest = max(self._filled.values(), key=lambda b: len(b.seen_s))
+            for _ in range(min(excess, len(largest.seen_s))):
+                largest.seen_s.popitem(last=False)
+            excess = self.entries() - self._max_entries
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,6 +10,7 @@
 from hibiscuspass.core.routing import config
 from hibiscuspass.core.routing import factory
 from hibiscuspass.core.routing import policy
+from hibiscuspass.core.routing import prefix_index
 from tests import assertions
 
 _POLICIES = ("prefix_cost", "round_robin", "least_load", "prefix_affinity")
@@ -244,3 +245,14 @@
     assertions.assert_refused(
         made.choose(query, 0.0), reason_lib.Reason.DEADLINE
     )
+
+
+def test_prefix_index_is_bounded_over_all_engines():
+    index = prefix_index.PrefixIndex(100, 80, ttl_s=60.0)
+    index.retain(_ENGINES)
+    for n, name in enumerate(_ENGINES * 25):
+        blocks = tuple(range(n * 10, n * 10 + 10))
+        index.on_event(engine.CacheEvent(name, n // 4, stored=blocks), n * 0.1)
+        assert index.entries() <= 100
+    last = tuple(range(990, 1000))
+    assert index.matched_blocks("e3", last, 10.0) == 10
