Close gaps in the adapters' tests found by mutations

Five of these get tests: a request resent by the library to the next process at an address, a swallowed cancellation, a reply addressed to another process, a resume refused with `X-Not-Run: 1`, and idle time while nobody reads. One was a redundant flag in the key-value client, which is removed. Of the rest, the explicit abort of a half-read response and the checks for a cancelled or refused watch make no difference to the outcome, since the stream ends either way.

Line ends inside a JSON event, which are legal, would have split the event on its way to the caller; they are now replaced by spaces.

Ruled out: a longer time limit in the existing test against resends. The library resends after a lost connection at once, and the new test shows that without waiting.

--- a/hibiscuspass/backends/completion_events.py
+++ b/hibiscuspass/backends/completion_events.py
@@ -66,6 +66,14 @@
     )
 
 
+def _one_line(data: bytes) -> bytes:
+    # A line end in valid JSON is white space, but it would split the event
+    # when it is sent on.
+    if b"\n" in data or b"\r" in data:
+        return data.replace(b"\n", b" ").replace(b"\r", b" ")
+    return data
+
+
 class CompletionEvents:
     """Decodes one stream.
 
@@ -123,13 +131,13 @@
         if chunk.usage:
             self._usage = _usage(chunk.usage)
         if not chunk.choices and chunk.usage and not self._held:
-            self._held = data
+            self._held = _one_line(data)
             return None
         if self._held:
             raise ValueError("event after the usage event")
         choices = chunk.choices
         tokens = sum(map(_choice_tokens, choices)) if choices else 0
-        event = engine.TokenEvent(data, tokens, self.index)
+        event = engine.TokenEvent(_one_line(data), tokens, self.index)
         self.index += 1
         self.tokens += tokens
         return event
--- a/hibiscuspass/backends/kv_client.py
+++ b/hibiscuspass/backends/kv_client.py
@@ -64,7 +64,6 @@
 
     priority: Priority
     task: "asyncio.Task[kv_store.ReadResult | refusal.Refusal] | None" = None
-    sent: bool = False
     waiting: int = 0
 
 
@@ -200,8 +199,9 @@
         reads = self._core.reads
         shared = reads.get((kind, key))
         # A read that is on its way may miss a write that the new caller knows
-        # of, and a less urgent one may be refused, so neither can be joined.
-        if shared and not shared.sent and shared.priority <= self._priority:
+        # of, so it is forgotten when it is sent. A less urgent read may be
+        # refused, so it can't be joined either.
+        if shared and shared.priority <= self._priority:
             self._core.metrics.coalesced.labels(self._purpose).inc()
         else:
             shared = _SharedRead(self._priority)
@@ -240,7 +240,6 @@
         def send(
             left_s: float,
         ) -> Awaitable[kv_store.ReadResult | refusal.Refusal]:
-            shared.sent = True
             self._forget(shared, kind, key)
             return read(key, timeout_s=left_s)
 
--- a/tests/test_etcd_kv.py
+++ b/tests/test_etcd_kv.py
@@ -137,6 +137,13 @@
     assert await _next_or_end(watch) is None
 
 
+async def test_a_watch_from_a_compacted_revision_ends(store, server):
+    first = await _put(store, "a/1")
+    server.state.compacted = first.revision
+    watch = store.watch("a/", first.revision)
+    assert await _next_or_end(watch) is None
+
+
 async def test_a_quiet_healthy_watch_stays_open(store, server):
     watch = store.watch("a/", 0)
     pending = asyncio.create_task(anext(watch, None))
--- a/tests/test_openai_engine.py
+++ b/tests/test_openai_engine.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 
+from aiohttp import test_utils
+from aiohttp import web
 import msgspec
 import pytest
 
@@ -348,3 +350,43 @@
         await engine.cancel("never seen", timeout_s=engine_calls.TIMEOUT_S)
         is None
     )
+
+
+async def test_time_in_which_nobody_reads_is_not_idle_time(started):
+    server = await started(
+        engine_stand_in.EngineStandIn(
+            settings=engine_batch.BatchSettings(
+                token_interval_s=0.01, output_tokens=_TOKENS
+            )
+        )
+    )
+    engine = await started(
+        openai_engine.make_openai_engine("e1", server.address)
+    )
+    stream = engine.complete(
+        engine_calls.make_request(), idle_timeout_s=_SILENCE_S
+    )
+    items = [await anext(stream)]
+    # A slow caller holds up the relay for longer than the limit.
+    await asyncio.sleep(3 * _SILENCE_S)
+    _assert_complete([*items, *await engine_calls.collect(stream)])
+
+
+async def test_a_refused_resume_does_not_mean_that_the_request_did_not_run(
+    started,
+):
+    async def refuse(request):
+        return web.Response(status=503, headers={"X-Not-Run": "1"})
+
+    app = web.Application()
+    app.router.add_get("/v1/requests/r1/stream", refuse)
+    server = test_utils.TestServer(app)
+    await server.start_server()
+    engine = await started(
+        openai_engine.OpenAiEngine("e1", str(server.make_url("")))
+    )
+    (refused,) = await engine_calls.collect(
+        engine.resume("r1", 0, idle_timeout_s=engine_calls.TIMEOUT_S)
+    )
+    assert refused.run is run_state.RunState.UNKNOWN
+    await server.close()
--- a/tests/test_pynng_link.py
+++ b/tests/test_pynng_link.py
@@ -256,3 +256,60 @@
         )
         go_on.set()
         assert await patient == peer_links.Echoed(1)
+
+
+async def test_a_request_lost_with_its_peer_is_not_run_by_the_next_one():
+    client, first = peer_links.make("a"), peer_links.make("b")
+    entered = asyncio.Event()
+    seen = []
+
+    async def hang(sender, msg):
+        entered.set()
+        await asyncio.Event().wait()
+
+    async def handle(sender, msg):
+        seen.append(msg.number)
+        return await peer_links.echo(sender, msg)
+
+    first.register(peer_links.Echo, hang)
+    async with peer_links.started(client):
+        await first.start()
+        address = first.address
+        pending = asyncio.create_task(
+            client.request(
+                address, peer_links.Echo(1), timeout_s=peer_links.TIMEOUT_S
+            )
+        )
+        await entered.wait()
+        await first.close()
+        second = peer_links.make("b", start_id="2", listen=address)
+        second.register(peer_links.Echo, handle)
+        async with peer_links.started(second):
+            # The library would resend the request to the new process.
+            assertions.assert_refused(await pending, reason_lib.Reason.TIMEOUT)
+            await client.request(
+                address, peer_links.Echo(2), timeout_s=peer_links.TIMEOUT_S
+            )
+    assert seen == [2]
+
+
+async def test_a_cancellation_that_the_library_swallows_is_raised_again(
+    monkeypatch,
+):
+    link = pynng_link.Link("127.0.0.1:1", 1000)
+    waiting = asyncio.Event()
+
+    async def swallow(context, frame, timeout_s):
+        waiting.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            return b"reply"
+
+    monkeypatch.setattr(link, "_exchange", swallow)
+    pending = asyncio.create_task(link.exchange(b"", peer_links.TIMEOUT_S))
+    await waiting.wait()
+    pending.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await pending
+    link.close()
--- a/tests/test_pynng_transport.py
+++ b/tests/test_pynng_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.peers import pynng_link
@@ -250,3 +251,28 @@
             second.address, peer_links.Echo(2), timeout_s=peer_links.TIMEOUT_S
         ) == peer_links.Echoed(2)
     assert seen == [2]
+
+
+async def test_a_reply_to_another_process_is_refused(monkeypatch):
+    client, server = peer_links.make("a"), peer_links.make("b")
+    server.register(peer_links.Echo, peer_links.echo)
+
+    async def misdirect(link, frame, timeout_s):
+        req = server._codec.decode(frame)
+        return server._codec.encode(
+            peer_links.Echoed(1),
+            recipient=incarnation.Incarnation("a", "an earlier run"),
+            at=req.at,
+            exchange=req.exchange,
+        )
+
+    monkeypatch.setattr(pynng_link.Link, "exchange", misdirect)
+    async with peer_links.started(client, server):
+        assertions.assert_refused(
+            await client.request(
+                server.address,
+                peer_links.Echo(1),
+                timeout_s=peer_links.TIMEOUT_S,
+            ),
+            reason_lib.Reason.UNAUTHENTICATED,
+        )
