--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,133 @@
+"""Guards the plan against overfull engines, lost models and needless moves."""
+
+import attrs
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from hibiscuspass.core.placement import config
+from hibiscuspass.core.placement import desired
+from hibiscuspass.core.placement import planner
+
+_CFG = config.PlacementConfig(engine_memory_bytes=100, requests_per_engine=10)
+
+
+def _slots(count: int, plan=None) -> list[planner.EngineSlot]:
+    return [
+        planner.EngineSlot(
+            f"e{n}", f"fd{n % 3}", current=(plan or {}).get(f"e{n}")
+        )
+        for n in range(count)
+    ]
+
+
+def _demand(model: str, size: int, requests: float = 0.0, version: str = "1"):
+    return planner.ModelDemand(model, version, size, requests)
+
+
+def _holders(plan, model: str) -> list[str]:
+    return [n for n, d in plan.items() if model in d.models]
+
+
+def test_replicas_follow_demand_and_spread_over_failure_domains():
+    demands = [_demand("a", 60, 45.0), _demand("b", 40)]
+    plan = planner.plan(_slots(6), demands, [], _CFG)
+    assert len(_holders(plan, "a")) == 5
+    domains = {int(n[1:]) % 3 for n in _holders(plan, "b")}
+    assert len(domains) == 2
+
+
+def test_unchanged_demand_moves_nothing():
+    demands = [_demand("a", 60, 25.0), _demand("b", 40), _demand("c", 30)]
+    plan = planner.plan(_slots(6), demands, [], _CFG)
+    assert planner.plan(_slots(6, plan), demands, [], _CFG) == plan
+
+
+def test_small_changes_of_demand_move_nothing():
+    plan = planner.plan(_slots(6), [_demand("a", 60, 39.0)], [], _CFG)
+    again = planner.plan(_slots(6, plan), [_demand("a", 60, 31.0)], [], _CFG)
+    assert again == plan
+    less = planner.plan(_slots(6, plan), [_demand("a", 60, 5.0)], [], _CFG)
+    assert len(_holders(less, "a")) == 3
+
+
+def test_lost_engine_is_replaced_without_moving_others():
+    demands = [_demand("a", 60), _demand("b", 60)]
+    plan = planner.plan(_slots(6), demands, [], _CFG)
+    lost = _holders(plan, "a")[0]
+    rest = [s for s in _slots(6, plan) if s.name != lost]
+    again = planner.plan(rest, demands, [], _CFG)
+    changed = [n for n in again if again[n] != plan[n]]
+    assert len(changed) == 1
+    assert len(_holders(again, "a")) == 2
+
+
+def test_scarce_memory_serves_every_model_before_second_replicas():
+    demands = [_demand("a", 80, 50.0), _demand("b", 80), _demand("c", 80)]
+    plan = planner.plan(_slots(3), demands, [], _CFG)
+    assert all(len(_holders(plan, m)) == 1 for m in "abc")
+
+
+def test_new_model_replaces_surplus_replicas():
+    plan = planner.plan(_slots(3), [_demand("a", 80, 30.0)], [], _CFG)
+    demands = [_demand("a", 80, 15.0), _demand("b", 80)]
+    again = planner.plan(_slots(3, plan), demands, [], _CFG)
+    assert len(_holders(again, "b")) == 1
+
+
+def test_leaving_engine_keeps_its_models_and_drains():
+    demands = [_demand("a", 60)]
+    plan = planner.plan(_slots(3), demands, [], _CFG)
+    leaving = _holders(plan, "a")[0]
+    slots = [
+        attrs.evolve(s, leaving=s.name == leaving) for s in _slots(3, plan)
+    ]
+    again = planner.plan(slots, demands, [], _CFG)
+    assert again[leaving] == attrs.evolve(plan[leaving], role=desired.DRAIN)
+    active = [n for n in _holders(again, "a") if n != leaving]
+    assert len(active) == 2
+
+
+def test_adapters_go_to_engines_with_their_models():
+    demands = [_demand("a", 60), _demand("b", 60)]
+    adapters = [planner.AdapterDemand("x", frozenset({"a"}))]
+    plan = planner.plan(_slots(6), demands, adapters, _CFG)
+    for state in plan.values():
+        assert ("x" in state.adapters) == ("a" in state.models)
+
+
+def test_roles_are_split_only_with_enough_replicas():
+    cfg = attrs.evolve(_CFG, prefill_share=0.25)
+    plan = planner.plan(_slots(4), [_demand("a", 60, 40.0)], [], cfg)
+    roles = sorted(d.role for d in plan.values())
+    assert roles == ["decode", "decode", "decode", "prefill"]
+    few = planner.plan(_slots(3), [_demand("a", 60, 40.0)], [], cfg)
+    assert {d.role for d in few.values()} == {"serve"}
+
+
+@pytest.mark.parametrize("engines", [1, 4])
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(
+    st.lists(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abcdef"),
+                st.integers(1, 120),
+                st.floats(0, 100),
+            ),
+            unique_by=lambda t: t[0],
+            max_size=6,
+        ),
+        min_size=1,
+        max_size=4,
+    )
+)
+def test_memory_is_never_exceeded(engines, rounds):
+    """Guards against plans that an engine can't hold."""
+    plan = None
+    for demands in rounds:
+        models = [_demand(*d) for d in demands]
+        plan = planner.plan(_slots(engines, plan), models, [], _CFG)
+        sizes = {d.model: d.size_bytes for d in models}
+        for state in plan.values():
+            assert sum(sizes[m] for m in state.models) <= 100
