--- a/hibiscuspass/core/dispatch/completion.py
+++ b/hibiscuspass/core/dispatch/completion.py
@@ -15,7 +15,14 @@
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
 
+# Bounds on the values that are checked one by one.
 _MAX_MESSAGES = 4096
+_MAX_TEXT_PARTS = 8192
+_MAX_PROMPT_TOKENS = 1_000_000
+# Longer than all roles in use; the overhead per message covers it.
+_MAX_ROLE_CHARS = 16
+# Average of English text with the usual tokenizers.
+_BYTES_PER_TOKEN = 4
 # Fields besides the messages or the prompt whose text reaches the prompt.
 _PROMPT_FIELDS = (
     "tools",
@@ -48,6 +55,8 @@
       stream: Whether the caller asked for server-sent events.
       output_limit: Largest number of generated tokens.
       prompt_tokens: Largest possible number of prompt tokens.
+      likely_prompt_tokens: Usual number of prompt tokens for such a text; for
+        estimates of time, where the bound would refuse too much.
       worst_case: Largest possible cost in budget units.
     """
 
@@ -58,6 +67,7 @@
     stream: bool
     output_limit: int
     prompt_tokens: int
+    likely_prompt_tokens: int
     worst_case: int
 
 
@@ -127,11 +137,25 @@
             f"'messages' has {len(messages)} entries,"
             f" at most {_MAX_MESSAGES} are allowed"
         )
+    parts = sum(
+        len(message["content"])
+        for message in messages
+        if isinstance(message, dict)
+        and isinstance(message.get("content"), list)
+    )
+    if parts > _MAX_TEXT_PARTS:
+        return _invalid(
+            f"'messages' have {parts} text parts,"
+            f" at most {_MAX_TEXT_PARTS} are allowed"
+        )
     for index, message in enumerate(messages):
         if not isinstance(message, dict):
             return _invalid(f"'messages[{index}]' must be an object")
-        if not isinstance(message.get("role"), str):
-            return _invalid(f"'messages[{index}].role' must be a string")
+        if not 0 < len(_role(message)) <= _MAX_ROLE_CHARS:
+            return _invalid(
+                f"'messages[{index}].role' must be 1 to"
+                f" {_MAX_ROLE_CHARS} characters"
+            )
         if not _is_text(message.get("content")):
             return _invalid(
                 f"'messages[{index}].content' must be text or text parts"
@@ -139,6 +163,11 @@
     return None
 
 
+def _role(message: dict[str, Any]) -> str:
+    role = message.get("role")
+    return role if isinstance(role, str) else ""
+
+
 def _is_text(content: Any) -> bool:
     # The tokens of an image or audio part are not bounded by its bytes.
     if content is None or isinstance(content, str):
@@ -157,7 +186,7 @@
     # Several prompts in one request would produce several outputs.
     if (
         isinstance(prompt, list)
-        and prompt
+        and 0 < len(prompt) <= _MAX_PROMPT_TOKENS
         and all(type(token) is int and token >= 0 for token in prompt)
     ):
         return None
@@ -230,6 +259,7 @@
 ) -> CompletionCall | refusal.Refusal:
     stream = body.get("stream", False)
     prompt_tokens = _prompt_tokens(path, body, spec)
+    likely_prompt_tokens = _likely_prompt_tokens(path, body)
     if prompt_tokens + limit > spec.context_tokens:
         # A byte bound above the context may still fit in tokens, therefore the
         # bound is lowered instead of refusing; engines refuse a longer prompt.
@@ -255,10 +285,36 @@
         stream=stream,
         output_limit=limit,
         prompt_tokens=prompt_tokens,
+        likely_prompt_tokens=min(likely_prompt_tokens, prompt_tokens),
         worst_case=cost.token_cost(spec, prompt_tokens, limit),
     )
 
 
+def _likely_prompt_tokens(path: str, body: Mapping[str, Any]) -> int:
+    if path == CHAT_PATH:
+        text = sum(map(_message_bytes, body["messages"]))
+        return text // _BYTES_PER_TOKEN + 1
+    prompt = body["prompt"]
+    if isinstance(prompt, list):
+        return len(prompt)
+    return cost.text_bytes(prompt) // _BYTES_PER_TOKEN + 1
+
+
+def _message_bytes(message: Mapping[str, Any]) -> int:
+    content = message.get("content")
+    if isinstance(content, list):
+        text = sum(cost.text_bytes(part["text"]) for part in content)
+    else:
+        text = cost.text_bytes(content)
+    # The role is part of the overhead per message.
+    rest = {
+        field: value
+        for field, value in message.items()
+        if field not in ("role", "content")
+    }
+    return text + (cost.text_bytes(rest) if rest else 0)
+
+
 def _prompt_tokens(
     path: str, body: Mapping[str, Any], spec: model_spec.ModelSpec
 ) -> int:
@@ -266,7 +322,9 @@
     if path == CHAT_PATH:
         messages = body["messages"]
         return cost.prompt_bound(
-            spec, cost.text_bytes(messages) + extra, len(messages) + 1
+            spec,
+            sum(map(_message_bytes, messages)) + extra,
+            len(messages) + 1,
         )
     prompt = body["prompt"]
     if isinstance(prompt, list):
--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -15,9 +15,13 @@
       failure_domain: Failure domain of this router.
       seed: Seed of the random choices; differs between routers.
       block_tokens: Prompt tokens per prefix block.
-      index_entries_per_engine: Bound of the prefix index.
+      index_entries: Bound of the prefix index over all engines; an entry takes
+        about 200 bytes.
+      index_entries_per_engine: Bound of the prefix index per engine.
       index_entry_ttl_s: Age at which an unconfirmed index entry is dropped, in
         seconds.
+      max_scored: Engines that are scored per request. Of more engines, those
+        that may have the prefix, the home engine and a random sample are.
       best_candidates: Number of best engines that two are drawn from.
       candidate_slack_s: Candidates are at most this much slower than the best
         engine, in seconds.
@@ -34,6 +38,12 @@
         prompt's home engine, given by a hash that all routers share. Without
         cache events it makes the routers choose the same engine.
       home_blocks: Number of leading blocks that decide the home engine.
+      queue_share: Share of the time to the deadline, less the own prompt work,
+        that the expected queue may take. The rest covers what the estimate
+        doesn't know.
+      spill_requests: If the best engine can't meet the deadline, another one is
+        taken only if it has at most this many requests in flight. Giving up
+        cache hits makes more work, so it is left to engines that are idle.
       max_in_flight_per_engine: Running and waiting requests of an engine, from
         all routers, above which this router sends no more.
       max_queue_s: Expected queue of an engine above which this router sends no
@@ -50,8 +60,10 @@
     failure_domain: str = ""
     seed: int = 0
     block_tokens: int = 16
+    index_entries: int = 100_000
     index_entries_per_engine: int = 50_000
     index_entry_ttl_s: float = 120.0
+    max_scored: int = 64
     best_candidates: int = 3
     candidate_slack_s: float = 0.05
     near_tie_s: float = 0.005
@@ -61,6 +73,8 @@
     uncached_weight: float = 0.5
     home_share: float = 0.6
     home_blocks: int = 8
+    queue_share: float = 0.3
+    spill_requests: int = 4
     max_in_flight_per_engine: int = 256
     max_queue_s: float = 10.0
     max_report_age_s: float = 15.0
