Test reports against real holders over peer links

Cause: reports were tested with answers made by hand.

Ruled out: a fleet fake that never emits its view; the budget runtime follows changes and knew no router.

Before: no such test. After: a permit of 100 shows bounds 0 to 100, its settlement of 60 shows 60 to 60, and an outage shows a router's copy with a warning.

--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -200,14 +200,22 @@
     """A view that the test sets."""
 
     def __init__(self, *routers: fleet_view.RouterMember) -> None:
-        self.routers = tuple(routers)
+        self._views = subject.BehaviorSubject(fleet_view.FleetView(routers))
+
+    @property
+    def routers(self) -> tuple[fleet_view.RouterMember, ...]:
+        return self.view().routers
+
+    @routers.setter
+    def routers(self, routers: tuple[fleet_view.RouterMember, ...]) -> None:
+        self._views.on_next(fleet_view.FleetView(routers))
 
     def view(self):
-        return fleet_view.FleetView(self.routers)
+        return self._views.value
 
     def changes(self):
-        never: reactivex.Observable[fleet_view.FleetView] = subject.Subject()
-        return never
+        changes: reactivex.Observable[fleet_view.FleetView] = self._views
+        return changes
 
 
 @attrs.define
--- a/tests/test_control_integration.py
+++ b/tests/test_control_integration.py
@@ -4,127 +4,21 @@
 import contextlib
 import signal
 
-import attrs
 import pytest
 
-from hibiscuspass.admin import change_status
-from hibiscuspass.admin import config_store
 from hibiscuspass.admin import main as admin_main
-from hibiscuspass.backends import etcd_kv
-from hibiscuspass.backends import http_vm_list
 from hibiscuspass.core import incarnation
-from hibiscuspass.core.configuration import record
-from hibiscuspass.core.configuration import workspace as workspace_lib
-from hibiscuspass.peers import pynng_transport
-from hibiscuspass.router import config_runtime
+from hibiscuspass.core import refusal
+from hibiscuspass.core.budget import permit
 from hibiscuspass.settings import admin as admin_settings
-from hibiscuspass.settings import config_sync
-from hibiscuspass.settings import process as process_lib
 from hibiscuspass.settings import secrets
 from hibiscuspass.settings import structure
-from hibiscuspass.telemetry import recorder as recorder_lib
-from standins import kv
-from standins import platform
-from tests import config_fakes
-
-_FLEET_KEY = bytes(range(32))
-_LOCAL = "127.0.0.1:0"
-# Bounds a wait by the number of looks, for slow machines as well.
-_MAX_LOOKS = 400
-_LOOK_S = 0.05
-
-
-async def _eventually(condition):
-    for _ in range(_MAX_LOOKS):
-        if condition():
-            return
-        await asyncio.sleep(_LOOK_S)
-    raise AssertionError("the condition did not come true")
-
-
-@attrs.define
-class _Router:
-    runtime: config_runtime.ConfigRuntime
-    transport: pynng_transport.PynngTransport
-    etcd: etcd_kv.EtcdKv
-
-    async def close(self):
-        await self.runtime.abort()
-        await self.transport.close()
-        await self.etcd.close()
-
-
-class _System:
-    """Stand-ins of the platform and routers on real peer links."""
-
-    def __init__(self):
-        self.kv = kv.KvStandIn(host="127.0.0.1", port=0)
-        self.platform = platform.PlatformStandIn(host="127.0.0.1", port=0)
-        self.fleet = config_fakes.FakeFleet()
-        self.routers = []
-        process = incarnation.Incarnation("admin", "1")
-        self.transport = pynng_transport.make_transport(
-            process, _LOCAL, _FLEET_KEY, recorder_lib.Recorder(process)
-        )
-
-    async def start(self):
-        await self.kv.start()
-        await self.platform.start()
-        self.etcd = etcd_kv.make_etcd_kv(self.kv.address)
-        self.vms = http_vm_list.make_http_vm_list(self.platform.address)
-        self.configs = config_store.ConfigStore(self.etcd, 1.0)
-        self.tracker = change_status.ChangeTracker(
-            self.etcd, self.vms, self.transport, 1.0, 1.0
-        )
-
-    async def stop(self):
-        for router in self.routers:
-            await router.close()
-        await self.transport.close()
-        await self.vms.close()
-        await self.etcd.close()
-        await self.platform.stop()
-        await self.kv.stop()
-
-    async def start_router(self, name):
-        process = incarnation.Incarnation(name, "1")
-        recorder = recorder_lib.Recorder(process)
-        transport = pynng_transport.make_transport(
-            process, _LOCAL, _FLEET_KEY, recorder
-        )
-        await transport.start()
-        etcd = etcd_kv.make_etcd_kv(self.kv.address)
-        runtime = config_runtime.make_config_runtime(
-            process=process,
-            place=process_lib.ProcessSettings(name, "127.0.0.1", "d", "r"),
-            peer_address=transport.address,
-            store=etcd,
-            transport=transport,
-            fleet=self.fleet,
-            recorder=recorder,
-            cfg=config_sync.ConfigSyncSettings(
-                poll_interval_s=0.1, retry_interval_s=0.1
-            ),
-            kv_timeout_s=0.5,
-        )
-        router = _Router(runtime, transport, etcd)
-        self.routers.append(router)
-        self.fleet.routers += (
-            config_fakes.make_router_member(str(process), transport.address),
-        )
-        await runtime.start()
-        return runtime
-
-    async def write(self, priority, seen=0):
-        ws = workspace_lib.Workspace("bakery", priority=priority)
-        return await self.configs.workspaces.put(
-            "bakery", seen, record.Record(ws, "ines")
-        )
+from tests import control_system
 
 
 @pytest.fixture
 async def system():
-    made = _System()
+    made = control_system.System()
     await made.start()
     yield made
     await made.stop()
@@ -136,7 +30,7 @@
     for router in routers:
         assert (await router.load("bakery")).priority == 1
     changed = await system.write(2, stored.revision)
-    await _eventually(
+    await control_system.eventually(
         lambda: all(r.workspace("bakery").priority == 2 for r in routers)
     )
     status = await system.tracker.check("bakery", changed.revision)
@@ -157,7 +51,9 @@
     status = await system.tracker.check("bakery", changed.revision)
     assert status.accepted, status
     assert "b/1" in [r.process for r in status.routers]
-    await _eventually(lambda: second.workspace("bakery").priority == 2)
+    await control_system.eventually(
+        lambda: second.workspace("bakery").priority == 2
+    )
 
 
 async def test_a_lost_watch_is_opened_again(system):
@@ -167,7 +63,43 @@
     await system.kv.inject(outage="refuse")
     await system.kv.inject(outage="")
     await system.write(2, stored.revision)
-    await _eventually(lambda: router.workspace("bakery").priority == 2)
+    await control_system.eventually(
+        lambda: router.workspace("bakery").priority == 2
+    )
+
+
+def _permit_request(number):
+    return permit.PermitRequest(
+        f"request-{number}", f"attempt-{number}", "bakery", 100, False, "m"
+    )
+
+
+async def test_a_report_asks_real_holders_and_survives_an_outage(system):
+    for name in ("a", "b"):
+        await system.start_router(name)
+    await system.write(1)
+    for router in system.routers:
+        await router.runtime.load("bakery")
+    await system.ledgers.top_up("bakery", "t", 1000)
+    budgets = system.routers[0].budgets
+    held = await budgets.acquire(_permit_request(1), timeout_s=5.0)
+    assert isinstance(held, permit.Permit), held
+    report = await system.reports.report("bakery")
+    assert [g.state for g in report.grants] == ["live"]
+    assert (report.spent_at_least, report.spent_at_most) == (0, 100)
+    assert report.remaining_at_least == 900
+    budgets.settle(held, 60, permit.CostKind.REPORTED)
+    for _ in range(100):
+        report = await system.reports.report("bakery")
+        if report.spent_at_least == report.spent_at_most:
+            break
+        await asyncio.sleep(0.05)
+    assert (report.spent_at_least, report.spent_at_most) == (60, 60)
+    await system.kv.inject(outage="refuse")
+    report = await system.reports.report("bakery")
+    assert not isinstance(report, refusal.Refusal), report
+    assert "key-value service can't be reached" in report.warnings[0]
+    assert report.spent_at_least <= 60 <= report.spent_at_most
 
 
 async def test_the_administration_program_starts_and_stops(system, tmp_path):
@@ -195,10 +127,13 @@
     )
     assert isinstance(cfg, admin_settings.AdminSettings), cfg
     program = admin_main.Admin(
-        cfg, admin_settings.Operators((operator,)), _FLEET_KEY, process
+        cfg,
+        admin_settings.Operators((operator,)),
+        control_system.FLEET_KEY,
+        process,
     )
     task = asyncio.create_task(program.run())
-    await _eventually(lambda: program.is_ready)
+    await control_system.eventually(lambda: program.is_ready)
     signal.raise_signal(signal.SIGTERM)
     await task
     assert not program.is_ready
