--- a/hibiscuspass/router/config_runtime.py
+++ b/hibiscuspass/router/config_runtime.py
@@ -19,6 +19,7 @@
 from hibiscuspass.peers import codec
 from hibiscuspass.peers import transport as transport_lib
 from hibiscuspass.router import config_forwarder
+from hibiscuspass.router import config_metrics
 from hibiscuspass.router import config_presence
 from hibiscuspass.router import config_source
 from hibiscuspass.router import config_streams
@@ -35,21 +36,6 @@
 for _type in messages.MESSAGE_TYPES:
     codec.DEFAULT.add(_type)
 
-_APPLIED = prometheus_client.Counter(
-    "hibiscuspass_config_entries_total",
-    "Configuration entries received, by source and effect.",
-    ["source", "effect"],
-)
-_LOADS = prometheus_client.Counter(
-    "hibiscuspass_config_loads_total",
-    "Workspaces loaded on demand, by where they came from.",
-    ["source"],
-)
-_REGISTERED = prometheus_client.Gauge(
-    "hibiscuspass_config_registered",
-    "1 if the router is registered at the key-value service.",
-)
-
 
 class ConfigRuntime(config_source.ConfigSource):
     """Merges watch, poll and announcements into one table.
@@ -67,7 +53,9 @@
         process: incarnation.Incarnation,
         cfg: config_sync.ConfigSyncSettings,
         kv_timeout_s: float,
+        metrics: config_metrics.ConfigMetrics,
     ) -> None:
+        self._metrics = metrics
         self._presence = presence
         self._store = store
         self._transport = transport
@@ -76,7 +64,7 @@
         self._cfg = cfg
         self._kv_timeout_s = kv_timeout_s
         self.table = table_lib.ConfigTable(cfg.max_workspaces)
-        self._watch = config_streams.WatchStream(store, cfg)
+        self._watch = config_streams.WatchStream(store, cfg, metrics)
         self._poll = config_streams.PollStream(
             store, cfg, self.table, kv_timeout_s, self._watch
         )
@@ -219,7 +207,7 @@
         entry: entry_lib.ConfigEntry,
         effect: table_lib.Applied,
     ) -> None:
-        _APPLIED.labels(source, effect.value).inc()
+        self._metrics.entries.labels(source, effect.value).inc()
         if effect is table_lib.Applied.CHANGED:
             self._recorder.emit(
                 "config.applied",
@@ -239,7 +227,7 @@
     async def _maintain_presence(self) -> None:
         while True:
             await self._presence.maintain()
-            _REGISTERED.set(self._presence.is_registered)
+            self._metrics.registered.set(self._presence.is_registered)
             known = self._presence.is_registered
             await asyncio.sleep(
                 self._cfg.poll_interval_s
@@ -267,7 +255,7 @@
                 self._take(name, e, 0, "peer") for e in reply.entries
             ):
                 return None
-        _LOADS.labels("none").inc()
+        self._metrics.loads.labels("none").inc()
         return refusal.Refusal(
             reason.Reason.UNAVAILABLE,
             f"configuration of workspace {name!r} can't be read: the"
@@ -288,7 +276,7 @@
         self._note(source, entry, self.table.load(entry, as_of))
         is_loaded = self.table.get(name) is not None
         if is_loaded:
-            _LOADS.labels(source).inc()
+            self._metrics.loads.labels(source).inc()
         return is_loaded
 
     # Messages.
@@ -333,6 +321,7 @@
     recorder: recorder_lib.Recorder,
     cfg: config_sync.ConfigSyncSettings,
     kv_timeout_s: float,
+    metrics_registry: prometheus_client.CollectorRegistry | None = None,
 ) -> ConfigRuntime:
     """Builds the configuration runtime of a router.
 
@@ -346,6 +335,7 @@
       recorder: Timeline of this process.
       cfg: Intervals and bounds.
       kv_timeout_s: Time limit of one call of the key-value service.
+      metrics_registry: Registry of the counters, by default a private one.
     """
     member = member_lib.Member(peer_address, place.failure_domain, place.region)
     presence = config_presence.Presence(
@@ -360,5 +350,12 @@
         )
     )
     return ConfigRuntime(
-        presence, store, transport, recorder, process, cfg, kv_timeout_s
+        presence,
+        store,
+        transport,
+        recorder,
+        process,
+        cfg,
+        kv_timeout_s,
+        config_metrics.ConfigMetrics(metrics_registry),
     )
--- a/hibiscuspass/router/config_streams.py
+++ b/hibiscuspass/router/config_streams.py
@@ -4,7 +4,6 @@
 import collections
 
 import attrs
-import prometheus_client
 from reactivex import subject
 
 from hibiscuspass.backends import kv_store
@@ -12,14 +11,10 @@
 from hibiscuspass.core.configuration import entry as entry_lib
 from hibiscuspass.core.configuration import keys
 from hibiscuspass.core.configuration import table as table_lib
+from hibiscuspass.router import config_metrics
 from hibiscuspass.router import config_presence
 from hibiscuspass.settings import config_sync
 
-_WATCHES_LOST = prometheus_client.Counter(
-    "hibiscuspass_config_watches_lost_total",
-    "Configuration watches that ended or fell behind.",
-)
-
 
 @attrs.frozen
 class Observed:
@@ -45,11 +40,15 @@
     """
 
     def __init__(
-        self, store: kv_store.KvStore, cfg: config_sync.ConfigSyncSettings
+        self,
+        store: kv_store.KvStore,
+        cfg: config_sync.ConfigSyncSettings,
+        metrics: config_metrics.ConfigMetrics,
     ) -> None:
         self.entries: subject.Subject[Observed] = subject.Subject()
         self._store = store
         self._cfg = cfg
+        self._metrics = metrics
         self._next_revision = 0
         self._is_behind = asyncio.Event()
 
@@ -70,7 +69,7 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if watch.done() or behind.done():
-                    _WATCHES_LOST.inc()
+                    self._metrics.watches_lost.inc()
             finally:
                 watch.cancel()
                 behind.cancel()
