Never refuse a known keyed request as not run

Cause: a router that had just taken over the primary grant couldn't issue yet, and refused the retry of a request in its table as budget_exhausted with run=no. A router that waited for the primary's holder until the ask expired did the same without having looked the request up. Both were found by a test with processes in which the entry router is killed. Ruled out: the entry router's conversion of refusals; it passed on what the asked router had said. The check is part of every schedule now. Conclusion: only a holder with a fresh ledger may refuse a keyed request as exhausted.

--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/ask_desk.py
@@ -73,7 +73,11 @@
                 continue
             if self._ctx.now_s < ask.deadline_s:
                 continue
-            if ask.stage is _Stage.RECALLED and not self._state.port.failing:
+            recalled = ask.stage is _Stage.RECALLED
+            # Without a fresh ledger a keyed request may have a permit under a
+            # primary grant that another router holds.
+            unsure = self._state.port.failing or ask.msg.keyed
+            if recalled and not unsure:
                 answer = ask_answers.exhausted(ask.msg, final=False)
             else:
                 answer = ask_answers.unavailable(ask.msg)
@@ -116,6 +120,13 @@
         held_or_none.open(ask.sender, ask.msg)
         return True
 
+    def _is_known(self, msg: messages.Ask) -> bool:
+        """Whether an earlier attempt has a permit, so that it may have run."""
+        return any(
+            self._lookup(held, msg) is not None
+            for held in self._state.grants.values()
+        )
+
     def _lookup(
         self, held: held_grant.HeldGrant, msg: messages.Ask
     ) -> permit_row.PermitRow | None:
@@ -189,6 +200,10 @@
         if ask.stage is _Stage.RECALLED:
             if self._serve(ask):
                 self._state.pending.remove(ask)
+            elif self._is_known(ask.msg):
+                # The permit of an earlier attempt can be continued once its
+                # grant can issue again; until then the ask waits.
+                return
             elif not (others and self._state.want):
                 self._refuse(ask, ask_answers.exhausted(ask.msg, final=True))
         elif self._recall is None:
--- a/tests/budget_walk.py
+++ b/tests/budget_walk.py
@@ -164,6 +164,7 @@
         world.check_no_overspend()
     world.quiesce(rng)
     world.check_no_overspend()
+    world.check_refusals()
     world.check_billing()
     world.check_quiet()
     return world
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -17,6 +17,7 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
 from hibiscuspass.core.budget import actions
 from hibiscuspass.core.budget import billing_batch
 from hibiscuspass.core.budget import events
@@ -158,6 +159,10 @@
         self.stopped = 0
         self.drained: set[incarnation.Incarnation] = set()
         self.charged: set[str] = set()
+        self.requests: dict[str, str] = {}
+        # Keyed attempts that were refused as not run although an earlier
+        # attempt of the same request may have run.
+        self.untrue_refusals: list[str] = []
         self.sent: Counter[str] = Counter()
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -410,6 +415,7 @@
         req = permit_lib.PermitRequest(
             request_id, attempt_id, WORKSPACE, worst_case, bool(key), "m"
         )
+        self.requests[attempt_id] = request_id
         self.handle(own, events.Acquire(req, self.now_s + timeout_s))
         return attempt_id
 
@@ -419,9 +425,23 @@
         self.outcomes[action.attempt_id] = action.outcome
         if isinstance(action.outcome, permit_lib.Permit):
             self.runs[action.attempt_id] = Run(action.outcome, own, self.now_s)
+        elif self._is_untrue(action):
+            self.untrue_refusals.append(action.attempt_id)
         if self.on_decide is not None:
             self.on_decide(action.attempt_id, action.outcome)
 
+    def _is_untrue(self, action: actions.Decide) -> bool:
+        outcome = action.outcome
+        if not isinstance(outcome, refusal.Refusal):
+            return False
+        request_id = self.requests[action.attempt_id]
+        return outcome.run is run_state.RunState.NO and any(
+            run.permit.request_id == request_id
+            and run.cost != 0
+            and run.permit.grant_id not in self.charged
+            for run in self.runs.values()
+        )
+
     def running(self) -> list[str]:
         """Returns the attempts whose entry router can still settle them."""
         return [
@@ -644,6 +664,10 @@
 
     # Checks.
 
+    def check_refusals(self) -> None:
+        """Asserts that a request refused as not run has not run."""
+        assert not self.untrue_refusals, self.untrue_refusals
+
     def check_no_overspend(self) -> None:
         """Asserts the budget guarantee at this moment."""
         prepaid = self.ledger().prepaid
--- a/tests/test_budget_protocol.py
+++ b/tests/test_budget_protocol.py
@@ -174,6 +174,7 @@
             return
         self.world.quiesce(random.Random(0))
         self.world.check_no_overspend()
+        self.world.check_refusals()
         self.world.check_billing()
         self.world.check_quiet()
 
