Let old reports of queues fade; apply home engines only to repeats

A queue is worked off in about 0.1 s, a report is up to 0.7 s old, so all routers avoided engines that were idle by then; and home engines made the placement random where no cache could help. After: other routers' queues approach the mean with 0.1 s, their requests with 2 s, and the home share is scaled by the share of repeated prefixes.

--- a/hibiscuspass/core/routing/baselines.py
+++ b/hibiscuspass/core/routing/baselines.py
@@ -18,9 +18,7 @@
     def __init__(self, cfg: config.RoutingConfig) -> None:
         self._cfg = cfg
         self._rng = random.Random(cfg.seed)
-        self._engines = engine_set.EngineSet(
-            cfg.max_report_age_s, cfg.unix_minus_monotonic_s
-        )
+        self._engines = engine_set.EngineSet(cfg)
 
     @abc.abstractmethod
     def _pick(
--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -35,8 +35,9 @@
         Beside the request's own first token the work delays all other
         requests of the engine.
       home_share: Share of a prompt that the score assumes to be cached on the
-        prompt's home engine, given by a hash that all routers share. Without
-        cache events it makes the routers choose the same engine.
+        prompt's home engine, given by a hash that all routers share, as far as
+        prefixes repeat. Without cache events it makes the routers choose the
+        same engine.
       home_blocks: Number of leading blocks that decide the home engine.
       queue_share: Share of the time to the deadline, less the own prompt work,
         that the expected queue may take. The rest covers what the estimate
@@ -49,6 +50,9 @@
       max_queue_s: Expected queue of an engine above which this router sends no
         more, in seconds.
       max_report_age_s: Age at which a load report carries no information.
+      queue_memory_s: Time in which a reported queue of other routers' prompts
+        approaches the mean of the engines, in seconds.
+      batch_memory_s: The same for their requests.
       silent_after_s: Time without any first token, beyond the expected one,
         after which an engine is ejected, in seconds.
       unix_minus_monotonic_s: Offset of the Unix time of load reports to the
@@ -78,6 +82,8 @@
     max_in_flight_per_engine: int = 256
     max_queue_s: float = 10.0
     max_report_age_s: float = 15.0
+    queue_memory_s: float = 0.1
+    batch_memory_s: float = 2.0
     silent_after_s: float = 2.0
     unix_minus_monotonic_s: float = 0.0
     ejection: ejection_lib.EjectionConfig = attrs.field(
--- a/hibiscuspass/core/routing/engine_load.py
+++ b/hibiscuspass/core/routing/engine_load.py
@@ -1,6 +1,7 @@
 """Estimated load of one engine, as one router sees it."""
 
 import collections
+import math
 
 import attrs
 
@@ -37,15 +38,35 @@
         )
 
 
+@attrs.frozen
+class OtherLoad:
+    """Load that other routers put on an engine.
+
+    Attributes:
+      tokens: Queued prompt tokens.
+      requests: Running and waiting requests.
+    """
+
+    tokens: float
+    requests: float
+
+
 class EngineLoad:
     """Combines the last load report with the router's own requests.
 
     A report shows the engine as it was; the router's own share of it is known
-    exactly and is replaced by its share as it is now.
+    exactly and is replaced by its share as it is now. The share of the others
+    approaches the mean of all engines with the age of the report: a queue is
+    worked off in less time than a report takes, and routers that all avoid the
+    engine with the longest reported queue leave it idle.
     """
 
-    def __init__(self, memory_s: float) -> None:
+    def __init__(
+        self, memory_s: float, queue_memory_s: float, batch_memory_s: float
+    ) -> None:
         self._memory_s = memory_s
+        self._queue_memory_s = queue_memory_s
+        self._batch_memory_s = batch_memory_s
         self._report: engine.LoadReport | None = None
         self._report_s = float("-inf")
         self._other_tokens = 0.0
@@ -120,13 +141,27 @@
         ):
             self._recent.popleft()
 
-    def queued_tokens(self, now_s: float) -> float:
-        """Returns the prompt tokens expected to be queued now."""
-        return self._own_tokens + self._other_tokens * self._trust(now_s)
+    @property
+    def others(self) -> OtherLoad:
+        """Load of other routers in the last report."""
+        return OtherLoad(self._other_tokens, self._other_requests)
 
-    def requests(self, now_s: float) -> float:
+    def queued_tokens(self, mean: OtherLoad, now_s: float) -> float:
+        """Returns the prompt tokens expected to be queued now.
+
+        Args:
+          mean: Load of other routers, averaged over the engines.
+          now_s: Current time in seconds.
+        """
+        kept = self._kept(self._queue_memory_s, now_s)
+        return self._own_tokens + _blend(self._other_tokens, mean.tokens, kept)
+
+    def requests(self, mean: OtherLoad, now_s: float) -> float:
         """Returns the requests expected to run or wait on the engine now."""
-        return len(self._in_flight) + self._other_requests * self._trust(now_s)
+        kept = self._kept(self._batch_memory_s, now_s)
+        return len(self._in_flight) + _blend(
+            self._other_requests, mean.requests, kept
+        )
 
     def slowness(self, now_s: float) -> float:
         """Returns measured over assumed time to the first token."""
@@ -146,8 +181,9 @@
         due_s = max(oldest.sent_s + oldest.expected_s, self._progress_s)
         return max(0.0, now_s - due_s)
 
-    def _trust(self, now_s: float) -> float:
-        return 1.0 if now_s - self._report_s <= self._memory_s else 0.0
+    def _kept(self, memory_s: float, now_s: float) -> float:
+        age_s = max(0.0, now_s - self._report_s)
+        return math.exp(-age_s / memory_s) if age_s < self._memory_s else 0.0
 
     def _settle_pending(self, request_id: str, now_s: float) -> _Own | None:
         own = self._pending.pop(request_id, None)
@@ -155,3 +191,7 @@
             self._own_tokens -= own.work_tokens
             own.first_token_s = now_s
         return own
+
+
+def _blend(reported: float, mean: float, kept: float) -> float:
+    return mean + (reported - mean) * kept
--- a/hibiscuspass/core/routing/engine_set.py
+++ b/hibiscuspass/core/routing/engine_set.py
@@ -7,6 +7,7 @@
 from hibiscuspass.backends import engine
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
+from hibiscuspass.core.routing import config
 from hibiscuspass.core.routing import engine_load
 from hibiscuspass.core.routing import policy
 
@@ -39,9 +40,9 @@
 class EngineSet:
     """Known engines by name."""
 
-    def __init__(self, memory_s: float, unix_minus_monotonic_s: float) -> None:
-        self._memory_s = memory_s
-        self._offset_s = unix_minus_monotonic_s
+    def __init__(self, cfg: config.RoutingConfig) -> None:
+        self._cfg = cfg
+        self._offset_s = cfg.unix_minus_monotonic_s
         self.records: dict[str, EngineRecord] = {}
         # Engines by model and adapter, rebuilt after a change.
         self._serving: dict[tuple[str, str], list[EngineRecord]] = {}
@@ -55,7 +56,11 @@
                 view,
                 old[view.name].load
                 if view.name in old
-                else engine_load.EngineLoad(self._memory_s),
+                else engine_load.EngineLoad(
+                    self._cfg.max_report_age_s,
+                    self._cfg.queue_memory_s,
+                    self._cfg.batch_memory_s,
+                ),
             )
             for view in backends
         }
--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -13,9 +13,11 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.retry import ejection
 from hibiscuspass.core.routing import config
+from hibiscuspass.core.routing import engine_load
 from hibiscuspass.core.routing import engine_set
 from hibiscuspass.core.routing import policy
 from hibiscuspass.core.routing import prefix_index
+from hibiscuspass.core.routing import prefix_repeats
 
 # Own requests in flight to an engine that returns from an ejection, at full
 # weight; the limit rises with the weight.
@@ -43,6 +45,21 @@
         return self.record.view.name
 
 
+@attrs.frozen
+class _Surroundings:
+    """What the score of one engine depends on beside the engine.
+
+    Attributes:
+      home: The prompt's home engine.
+      others: Load of other routers, averaged over the engines.
+      requests: Requests in flight, averaged over the engines.
+    """
+
+    home: engine_set.EngineRecord | None
+    others: engine_load.OtherLoad
+    requests: float
+
+
 class PrefixCost(policy.RoutingPolicy):
     """The better of two random candidates among the best few.
 
@@ -53,9 +70,7 @@
     def __init__(self, cfg: config.RoutingConfig) -> None:
         self._cfg = cfg
         self._rng = random.Random(cfg.seed)
-        self._engines = engine_set.EngineSet(
-            cfg.max_report_age_s, cfg.unix_minus_monotonic_s
-        )
+        self._engines = engine_set.EngineSet(cfg)
         self._index = prefix_index.PrefixIndex(
             cfg.index_entries,
             cfg.index_entries_per_engine,
@@ -63,6 +78,7 @@
         )
         self._ejection = ejection.EjectionTracker(cfg.ejection, self._rng)
         self._sent_to: dict[str, str] = {}
+        self._repeats = prefix_repeats.PrefixRepeats()
 
     def choose(
         self, query: policy.RouteQuery, now_s: float
@@ -127,6 +143,7 @@
             query.request_id, work, route.expected_first_token_s, now_s
         )
         self._index.on_dispatch(route.backend, query.prompt_blocks, now_s)
+        self._repeats.observe(query.prompt_blocks[: self._cfg.home_blocks])
 
     def on_first_token(self, request_id: str, now_s: float) -> None:
         """See base class."""
@@ -184,11 +201,15 @@
     ) -> list[_Candidate]:
         home = self._home(records, query)
         records = self._sample(records, home, query, now_s)
-        requests = statistics.fmean(r.load.requests(now_s) for r in records)
-        weight = self._cfg.uncached_weight * requests
-        return [
-            self._candidate(r, query, weight, r is home, now_s) for r in records
-        ]
+        mean = engine_load.OtherLoad(
+            statistics.fmean(r.load.others.tokens for r in records),
+            statistics.fmean(r.load.others.requests for r in records),
+        )
+        requests = statistics.fmean(
+            r.load.requests(mean, now_s) for r in records
+        )
+        around = _Surroundings(home, mean, requests)
+        return [self._candidate(r, query, around, now_s) for r in records]
 
     def _sample(
         self,
@@ -233,8 +254,7 @@
         self,
         record: engine_set.EngineRecord,
         query: policy.RouteQuery,
-        uncached_weight: float,
-        is_home: bool,
+        around: _Surroundings,
         now_s: float,
     ) -> _Candidate:
         cfg = self._cfg
@@ -248,21 +268,24 @@
         own_s = slowness * (
             cfg.base_first_token_s + uncached / cfg.prefill_rate
         )
-        queued = load.queued_tokens(now_s)
+        queued = load.queued_tokens(around.others, now_s)
         queue_s = slowness * queued / cfg.prefill_rate + load.stalled_s(now_s)
-        if is_home:
+        requests = load.requests(around.others, now_s)
+        if record is around.home:
+            assumed = cfg.home_share * self._repeats.share
             uncached = min(
-                uncached, round(query.prompt_tokens * (1.0 - cfg.home_share))
+                uncached, round(query.prompt_tokens * (1.0 - assumed))
             )
         score_s = (
             own_s
             + queue_s
-            + cfg.running_cost_s * load.requests(now_s)
-            + uncached_weight * uncached / cfg.prefill_rate
-        )
-        return _Candidate(
-            record, cached, own_s, queue_s, load.requests(now_s), score_s
+            + cfg.running_cost_s * requests
+            + cfg.uncached_weight
+            * around.requests
+            * uncached
+            / cfg.prefill_rate
         )
+        return _Candidate(record, cached, own_s, queue_s, requests, score_s)
 
     def _has_room(self, candidate: _Candidate) -> bool:
         return (
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,9 +8,11 @@
 from hibiscuspass.backends import engine
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core.routing import config
+from hibiscuspass.core.routing import engine_load
 from hibiscuspass.core.routing import factory
 from hibiscuspass.core.routing import policy
 from hibiscuspass.core.routing import prefix_index
+from hibiscuspass.core.routing import prefix_repeats
 from tests import assertions
 
 _POLICIES = ("prefix_cost", "round_robin", "least_load", "prefix_affinity")
@@ -256,3 +258,24 @@
         assert index.entries() <= 100
     last = tuple(range(990, 1000))
     assert index.matched_blocks("e3", last, 10.0) == 10
+
+
+def test_old_queues_of_other_routers_approach_the_mean():
+    """Guards against leaving the engine idle that an old report avoids."""
+    load = engine_load.EngineLoad(15.0, 0.1, 2.0)
+    load.on_report(_report("e0", queued_prompt_tokens=20_000), 0.0)
+    mean = engine_load.OtherLoad(1000.0, 10.0)
+    assert load.queued_tokens(mean, 0.0) == 20_000
+    assert load.queued_tokens(mean, 1.0) == pytest.approx(1000, rel=0.01)
+    assert load.queued_tokens(mean, 20.0) == 1000
+
+
+def test_prompts_without_repeats_have_no_home_engine():
+    """Guards against unbalanced load where no cache can help."""
+    repeats = prefix_repeats.PrefixRepeats()
+    for n in range(300):
+        repeats.observe((n, n + 1))
+    assert repeats.share < 0.01
+    for _ in range(300):
+        repeats.observe((1, 2))
+    assert repeats.share > 0.99
