Assemble the router program and test it with processes

Cause: the parts were not built into a program, and nothing tested it against the stand-ins.

The program starts the links, membership, configuration and budgets before the caller API. At SIGTERM it refuses new calls, lets open ones complete, drains the budgets, ends its registration and exits. Budget replies are registered with the peer codec, and a workspace that a peer asks for is loaded in the background; without these two no router could get a permit from another one.

Ruled out: starting the caller API first, because callers would be refused until the fleet is known.

Before: no program.

--- /dev/null
+++ b/hibiscuspass/router/assembly.py
@@ -0,0 +1,244 @@
+"""Builds a router from its settings and runs its life cycle."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import random
+from typing import Any
+import uuid
+
+import prometheus_client
+
+from hibiscuspass.backends import etcd_kv
+from hibiscuspass.backends import http_service
+from hibiscuspass.backends import http_vm_list
+from hibiscuspass.backends import kv_client
+from hibiscuspass.backends import openai_engine
+from hibiscuspass.backends import prompt_blocks
+from hibiscuspass.backends import vm_list
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.admission import factory as admission_factory
+from hibiscuspass.core.budget import messages as budget_messages
+from hibiscuspass.core.routing import factory as routing_factory
+from hibiscuspass.peers import pynng_transport
+from hibiscuspass.router import admission_gate
+from hibiscuspass.router import backend_pool
+from hibiscuspass.router import budget_runtime
+from hibiscuspass.router import caller_api
+from hibiscuspass.router import claims
+from hibiscuspass.router import config_runtime
+from hibiscuspass.router import engine_monitor
+from hibiscuspass.router import fleet_runtime
+from hibiscuspass.router import lifecycle
+from hibiscuspass.router import loading_config
+from hibiscuspass.router import metrics
+from hibiscuspass.router import part_configs
+from hibiscuspass.router import parts as parts_lib
+from hibiscuspass.router import retry_runtime
+from hibiscuspass.settings import router as router_settings
+from hibiscuspass.settings import tls
+from hibiscuspass.telemetry import logs
+from hibiscuspass.telemetry import recorder as recorder_lib
+from hibiscuspass.telemetry import timeline
+
+_log = logs.get_logger(__name__)
+
+# Longer common prefixes are rare, and hashing holds up all streams.
+_MAX_PREFIX_BYTES = 128 * 1024
+# Part of the shutdown's bound that is left for bills and grants, and its
+# upper limit in seconds.
+_DRAIN_SHARE = 0.25
+_MAX_DRAIN_S = 15.0
+# Time for interrupted streams to send their error event.
+_CUT_S = 1.0
+
+
+class RouterProcess:
+    """One router with all its parts."""
+
+    def __init__(
+        self, cfg: router_settings.RouterSettings, fleet_key: bytes
+    ) -> None:
+        self._cfg = cfg
+        self.process = incarnation.Incarnation(
+            cfg.process.name, uuid.uuid4().hex[:12]
+        )
+        logs.configure(cfg.logging, str(self.process))
+        self._recorder = recorder_lib.Recorder(self.process)
+        registry = prometheus_client.REGISTRY
+        self._transport = pynng_transport.make_transport(
+            self.process,
+            cfg.peer_link.address,
+            fleet_key,
+            self._recorder,
+            message_types=budget_messages.REPLY_TYPES,
+            metrics_registry=registry,
+        )
+        timeline.register_timeline(
+            self._transport, self._recorder, self.process
+        )
+        self._store = etcd_kv.make_etcd_kv(cfg.key_value.address)
+        self._kv = kv_client.make_kv_client(
+            self._store,
+            calls_per_s=cfg.key_value.calls_per_s,
+            burst=cfg.key_value.burst,
+            metrics_registry=registry,
+        )
+        self._vms = http_vm_list.make_http_vm_list(cfg.vm_list.address)
+        self._fleet = self._make_fleet()
+        self._config = self._make_config()
+        self._loading = loading_config.LoadingConfig(self._config)
+        self._budget = self._make_budget()
+        self._backends = backend_pool.BackendPool(
+            self._fleet, _make_engine, _make_service
+        )
+        self._routing = routing_factory.make_routing_policy(
+            part_configs.routing(cfg, part_configs.random_seed())
+        )
+        self._monitor = engine_monitor.EngineMonitor(
+            self._fleet,
+            self._backends,
+            self._routing,
+            failure_domain=cfg.process.failure_domain,
+            region=cfg.process.region,
+            poll_interval_s=cfg.routing.load_poll_interval_s,
+            report_backend=self._fleet.report_backend,
+        )
+        self._lifecycle = lifecycle.Lifecycle(self._config.is_ready)
+        self._metrics = metrics.RouterMetrics(registry)
+        self._metrics.add_gauge(
+            "hibiscuspass_open_calls",
+            "Calls in progress.",
+            lambda: self._lifecycle.open_calls,
+        )
+        self._api = caller_api.CallerApi(self._make_parts())
+
+    def _make_fleet(self) -> fleet_runtime.FleetRuntime:
+        cfg = self._cfg
+        return fleet_runtime.make_fleet_runtime(
+            part_configs.membership(cfg),
+            self.process,
+            self._transport,
+            self._vms,
+            peer_address=cfg.peer_link.address,
+            failure_domain=cfg.process.failure_domain,
+            region=cfg.process.region,
+            recorder=self._recorder,
+        )
+
+    def _make_config(self) -> config_runtime.ConfigRuntime:
+        cfg = self._cfg
+        return config_runtime.make_config_runtime(
+            process=self.process,
+            place=cfg.process,
+            peer_address=cfg.peer_link.address,
+            store=self._kv.view("config", kv_client.Priority.NORMAL),
+            transport=self._transport,
+            fleet=self._fleet,
+            recorder=self._recorder,
+            cfg=cfg.config,
+            kv_timeout_s=cfg.key_value.timeout_s,
+        )
+
+    def _make_budget(self) -> budget_runtime.BudgetRuntime:
+        return budget_runtime.make_budget_runtime(
+            self.process,
+            kv=self._kv.view("budget", kv_client.Priority.FOREGROUND),
+            transport=self._transport,
+            fleet=self._fleet,
+            config=self._loading,
+            recorder=self._recorder,
+            timing=part_configs.budget_timing(self._cfg),
+        )
+
+    def _make_parts(self) -> parts_lib.Parts:
+        cfg = self._cfg
+        limits = part_configs.caller_limits(cfg)
+        return parts_lib.Parts(
+            config=self._config,
+            budget=self._budget,
+            routing=self._routing,
+            admission=admission_gate.AdmissionGate(
+                admission_factory.make_admission_controller(
+                    part_configs.admission(cfg)
+                )
+            ),
+            retries=retry_runtime.make_retry_policy(
+                cfg.retry, random.Random(part_configs.random_seed())
+            ),
+            backends=self._backends,
+            claims=claims.Claims(
+                self._kv.view("claims", kv_client.Priority.FOREGROUND),
+                self._lifecycle,
+                timeout_s=limits.claim_timeout_s,
+            ),
+            lifecycle=self._lifecycle,
+            recorder=self._recorder,
+            metrics=self._metrics,
+            models=part_configs.models(cfg),
+            services=part_configs.services(cfg),
+            limits=limits,
+            hash_prefix=_hash_prefix,
+            report_backend=self._fleet.report_backend,
+        )
+
+    async def start(self) -> None:
+        """Starts all parts; the caller API opens last.
+
+        Raises:
+          OSError: A port can't be bound or a TLS file can't be read.
+        """
+        await self._transport.start()
+        await self._fleet.start()
+        await self._config.start()
+        self._budget.start()
+        await self._monitor.start()
+        listen = self._cfg.listen
+        await self._api.start(
+            listen.host, listen.port, tls.make_server_context(listen.tls)
+        )
+        self._recorder.emit("router.started")
+        _log.info("router started", port=self._api.port)
+
+    async def stop(self, grace_s: float) -> bool:
+        """Stops gracefully within a bound.
+
+        The API keeps answering until the end, so that callers that still come
+        are told that their request was not run.
+
+        Returns:
+          Whether all calls completed and everything was handed over.
+        """
+        self._lifecycle.begin_stop()
+        self._fleet.set_leaving()
+        self._recorder.emit("router.stopping")
+        _log.info("router stopping", open_calls=self._lifecycle.open_calls)
+        drain_s = min(_DRAIN_SHARE * grace_s, _MAX_DRAIN_S)
+        completed = await self._lifecycle.finish(
+            timeout_s=max(grace_s - drain_s - _CUT_S, 0.0), cut_s=_CUT_S
+        )
+        flushed = await self._budget.drain(timeout_s=drain_s)
+        await self._api.close()
+        await self._monitor.close()
+        await self._budget.close()
+        await self._loading.close()
+        await self._config.stop()
+        await self._fleet.close()
+        await self._backends.close()
+        await self._vms.close()
+        await self._transport.close()
+        await self._store.close()
+        _log.info("router stopped", completed=completed, flushed=flushed)
+        return flushed
+
+
+def _hash_prefix(body: Mapping[str, Any]) -> Sequence[int]:
+    prompt = prompt_blocks.prompt_bytes(body)
+    return prompt_blocks.block_hashes(prompt[:_MAX_PREFIX_BYTES])
+
+
+def _make_engine(vm: vm_list.Vm) -> openai_engine.OpenAiEngine:
+    return openai_engine.make_openai_engine(vm.name, vm.address)
+
+
+def _make_service(vm: vm_list.Vm) -> http_service.HttpService:
+    return http_service.make_http_service(vm.name, vm.address)
--- a/hibiscuspass/router/part_configs.py
+++ b/hibiscuspass/router/part_configs.py
@@ -4,6 +4,7 @@
 import time
 
 from hibiscuspass.core.admission import config as admission_config
+from hibiscuspass.core.budget import timing
 from hibiscuspass.core.dispatch import model_spec
 from hibiscuspass.core.membership import config as membership_config
 from hibiscuspass.core.retry import ejection
@@ -11,6 +12,8 @@
 from hibiscuspass.router import limits
 from hibiscuspass.settings import router as router_settings
 
+# Time for a draw at a slow key-value service.
+_DRAW_S = 0.25
 # 64 tokens of about 4 bytes; see `backends.prompt_blocks`.
 _BLOCK_TOKENS = 64
 _SEED_BITS = 64
@@ -59,6 +62,22 @@
     )
 
 
+def budget_timing(
+    cfg: router_settings.RouterSettings,
+) -> timing.BudgetTiming:
+    """Returns the delays of the budget protocol."""
+    usual = timing.BudgetTiming()
+    return timing.BudgetTiming(
+        # Beside the answer itself the wait covers a draw and a recall.
+        ask_timeout_s=cfg.budgets.permit_timeout_s
+        + usual.recall_wait_s
+        + _DRAW_S,
+        flush_s=cfg.budgets.flush_interval_s,
+        orphan_window_s=cfg.budgets.orphan_window_s,
+        dedup_retention_s=cfg.budgets.dedup_retention_s,
+    )
+
+
 def caller_limits(cfg: router_settings.RouterSettings) -> limits.Limits:
     """Returns the limits of the caller API."""
     return limits.Limits(
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -15,6 +15,7 @@
 
 from hibiscuspass.backends import etcd_kv
 from hibiscuspass.backends import kv_store
+from hibiscuspass.core.budget import billing_batch
 from hibiscuspass.core.budget import ledger as ledger_lib
 from hibiscuspass.core.budget import ledger_codec
 from hibiscuspass.core.configuration import keys
@@ -96,15 +97,13 @@
     async def start_router(self, name: str, **settings: Any) -> Program:
         """Starts a router and waits until it is ready."""
         port, peer_port = free_port(), free_port()
-        await self.fault(
-            "vms", add=[self._vm(name, peer_port, "router", f"fd-{name}")]
-        )
+        await self.list_vm(name, peer_port, "router", f"fd-{name}")
         path = self._directory / f"{name}.yaml"
         path.write_text(
             yaml.safe_dump(self._settings(name, port, peer_port, settings))
         )
         program = await self.start(
-            name, "hibiscuspass.router.main", port, f"--settings={path}"
+            name, "hibiscuspass.router.main", port, str(path)
         )
         await self.until(lambda: self._answers(program, "/readyz"))
         return program
@@ -130,7 +129,7 @@
                 "burst": 1000,
             },
             "vm_list": {
-                "address": self.programs["vms"].url,
+                "address": self.programs["platform"].url,
                 "poll_interval_s": 0.2,
             },
             "models": [{"name": MODEL}],
@@ -139,23 +138,89 @@
             **changes,
         }
 
-    def _vm(
+    async def list_vm(
         self,
         name: str,
         port: int,
         role: str,
         failure_domain: str = "fd-0",
         service: str = "",
-    ) -> dict[str, str]:
-        return {
-            "name": name,
+    ) -> None:
+        """Adds a VM to the platform's list."""
+        vm = {
             "address": f"127.0.0.1:{port}",
             "failure_domain": failure_domain,
             "region": "r",
             "role": role,
-            "state": "live",
             "service": service,
         }
+        url = f"{self.programs['platform'].url}/vms/{name}"
+        async with self.session.put(url, json=vm) as resp:
+            assert resp.status == 200, await resp.text()
+
+    async def start_platform(self) -> None:
+        """Starts the key-value service and the VM list and provisions them."""
+        await self.start_stand_in("kv", "kv")
+        await self.start_stand_in("platform", "platform")
+        await self._provision()
+
+    async def start_engine(self, name: str, *args: str) -> Program:
+        """Starts an engine and lists it."""
+        program = await self.start_stand_in(
+            name, "engine", f"--models={MODEL}", *args
+        )
+        await self.list_vm(name, program.port, "engine")
+        return program
+
+    async def start_service(self, name: str) -> Program:
+        """Starts a server of the order service and lists it."""
+        program = await self.start_stand_in(name, "service")
+        await self.list_vm(name, program.port, "service", service="orders")
+        return program
+
+    def post(self, router: str, path: str, body: Any, *, key: str = "") -> Any:
+        """Sends a caller's request."""
+        headers = {"Authorization": f"Bearer {self.access_key}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        url = self.programs[router].url + path
+        return self.session.post(url, json=body, headers=headers)
+
+    def chat(
+        self, router: str, *, key: str = "", stream: bool = True, **fields: Any
+    ) -> Any:
+        """Sends a chat completion."""
+        message = {"role": "user", "content": "hello"}
+        body = {"model": MODEL, "messages": [message], "stream": stream}
+        return self.post(
+            router, "/v1/chat/completions", {**body, **fields}, key=key
+        )
+
+    async def bills(self) -> dict[str, list[int]]:
+        """Returns the costs of all billing records by request id."""
+        costs: dict[str, list[int]] = {}
+        store = etcd_kv.make_etcd_kv(self.programs["kv"].url)
+        read = await store.get_prefix(f"bills/{WORKSPACE}/", timeout_s=10)
+        await store.close()
+        assert isinstance(read, kv_store.ReadResult), read
+        for entry in read.entries:
+            for bill in billing_batch.decode(entry.value).records:
+                costs.setdefault(bill.request_id, []).append(bill.cost)
+        return costs
+
+    async def ledger(self) -> ledger_lib.Ledger:
+        """Returns the workspace's ledger."""
+        store = etcd_kv.make_etcd_kv(self.programs["kv"].url)
+        read = await store.get(ledger_codec.key(WORKSPACE), timeout_s=10)
+        await store.close()
+        assert isinstance(read, kv_store.ReadResult), read
+        return ledger_codec.decode(read.entries[0].value)
+
+    async def drop_vm(self, name: str) -> None:
+        """Removes a VM from the platform's list."""
+        url = f"{self.programs['platform'].url}/vms/{name}"
+        async with self.session.delete(url) as resp:
+            assert resp.status == 200, await resp.text()
 
     async def fault(self, name: str, **changes: Any) -> None:
         """Injects faults into a stand-in."""
@@ -202,7 +267,7 @@
             process.kill()
         await asyncio.gather(*(process.wait() for process in running))
 
-    async def provision(self) -> None:
+    async def _provision(self) -> None:
         """Writes the workspace and its prepaid budget."""
         self.access_key, stored = secrets.make_access_key(WORKSPACE)
         workspace = workspace_lib.Workspace(
@@ -225,7 +290,7 @@
                 keys.workspace(WORKSPACE),
                 record.encode(record.Record(workspace)),
             ),
-            (f"ledger/{WORKSPACE}", ledger_codec.encode(led)),
+            (ledger_codec.key(WORKSPACE), ledger_codec.encode(led)),
         ):
             result = await store.compare_and_swap(key, 0, value, timeout_s=10)
             assert isinstance(result, kv_store.CasResult), result
