--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/ask_desk.py
@@ -138,7 +138,7 @@
             elif held.is_acknowledged(row.request_id):
                 self._ctx.send(ask.sender, held.granted(row, msg.ask_id))
             else:
-                held.wait_for(ask.sender, msg)
+                held.waiters.add(ask.sender, msg)
         elif not self._ctx.fleet.is_gone(row.entry):
             self._ctx.send(ask.sender, ask_answers.attached(msg, row))
         elif msg.worst_case > row.hold:
--- /dev/null
+++ b/hibiscuspass/core/budget/ask_waiters.py
@@ -0,0 +1,32 @@
+"""Asks that wait until the witness has acknowledged their permits."""
+
+import itertools
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import permit_row
+
+_Waiter = tuple[incarnation.Incarnation, messages.Ask]
+
+
+class AskWaiters:
+    """Senders and asks by request id."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, list[_Waiter]] = {}
+
+    def add(self, sender: incarnation.Incarnation, ask: messages.Ask) -> None:
+        """Adds an ask."""
+        self._waiting.setdefault(ask.request_id, []).append((sender, ask))
+
+    def pop(self, row: permit_row.PermitRow) -> list[_Waiter]:
+        """Removes the asks of a request; returns those of its attempt."""
+        return [
+            (sender, ask)
+            for sender, ask in self._waiting.pop(row.request_id, ())
+            if ask.attempt_id == row.attempt_id and sender == row.entry
+        ]
+
+    def all(self) -> list[_Waiter]:
+        """Returns all asks, for another grant to serve."""
+        return list(itertools.chain.from_iterable(self._waiting.values()))
--- a/hibiscuspass/core/budget/fleet_index.py
+++ b/hibiscuspass/core/budget/fleet_index.py
@@ -20,14 +20,14 @@
 
     def update(self, view: fleet_view.FleetView) -> None:
         """Takes in a new view."""
-        known_gone = {
+        # A router that is gone stays so when the view no longer lists it, but
+        # may return if the platform lists its VM again.
+        gone = {
             i: m
             for i, m in self._members.items()
             if m.state is fleet_view.MemberState.GONE
         }
-        self._members = {m.incarnation: m for m in view.routers}
-        # Gone is final, also if a later view no longer lists the router.
-        self._members.update(known_gone)
+        self._members = gone | {m.incarnation: m for m in view.routers}
         self._orders.clear()
 
     def is_live(self, router: incarnation.Incarnation) -> bool:
--- a/hibiscuspass/core/budget/node_context.py
+++ b/hibiscuspass/core/budget/node_context.py
@@ -6,7 +6,7 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.budget import actions
 from hibiscuspass.core.budget import fleet_index
-from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import timing as timing_lib
 from hibiscuspass.core.configuration import workspace as workspace_lib
 
@@ -80,7 +80,7 @@
         )
         return self.fleet.witness_for(grant_id, excluded)
 
-    def send(self, to: incarnation.Incarnation, msg: messages.Message) -> None:
+    def send(self, to: incarnation.Incarnation, msg: message.Message) -> None:
         """Sends a message."""
         self.out.append(actions.Send(to, msg))
 
--- a/hibiscuspass/core/budget/takeover.py
+++ b/hibiscuspass/core/budget/takeover.py
@@ -2,10 +2,10 @@
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.budget import grant as grant_lib
-from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit_table
 from hibiscuspass.core.budget import proposal as proposal_lib
+from hibiscuspass.core.budget import witness_messages
 
 
 class Takeover:
@@ -71,7 +71,7 @@
             )
 
     def on_sealed(
-        self, sender: incarnation.Incarnation, msg: messages.EpochSealed
+        self, sender: incarnation.Incarnation, msg: witness_messages.EpochSealed
     ) -> None:
         """Takes in the witness's answer."""
         if sender != self.grant.witness:
@@ -96,7 +96,7 @@
         self._sent_at_s = self._ctx.now_s
         self._ctx.send(
             witness,
-            messages.SealEpoch(
+            witness_messages.SealEpoch(
                 self._ctx.next_id(),
                 witness,
                 self.grant.id,
--- a/tests/budget_fakes.py
+++ b/tests/budget_fakes.py
@@ -1,140 +1,125 @@
-"""In-memory key-value service, links, fleet and configuration for runtimes."""
+"""The administration API with a ledger and holders that answer."""
 
-import asyncio
+import attrs
 
-import reactivex
-from reactivex import subject
-
-from hibiscuspass.backends import kv_store
 from hibiscuspass.core import incarnation
-from hibiscuspass.core import reason as reason_lib
-from hibiscuspass.core import refusal
-from hibiscuspass.core.configuration import workspace as workspace_lib
-from hibiscuspass.core.membership import fleet_view
-from hibiscuspass.peers import transport as transport_lib
-from hibiscuspass.router import config_source
-from hibiscuspass.router import fleet_source
-
-
-class MemoryKv(kv_store.KvStore):
-    """Keys in memory; `lose_replies` counts writes whose reply is lost."""
-
-    def __init__(self):
-        self.data = {}
-        self.revision = 0
-        self.lose_replies = 0
-        self.up = True
-        self.changed = asyncio.Event()
-
-    async def get(self, key, *, timeout_s):
-        await asyncio.sleep(0)
-        if not self.up:
-            return refusal.Refusal(reason_lib.Reason.UNAVAILABLE)
-        found = self.data.get(key)
-        return kv_store.ReadResult((found,) if found else (), self.revision)
-
-    async def get_prefix(self, prefix, *, timeout_s):
-        await asyncio.sleep(0)
-        found = [
-            v for k, v in sorted(self.data.items()) if k.startswith(prefix)
+from hibiscuspass.core.budget import billing_batch
+from hibiscuspass.core.budget import ledger as ledger_lib
+from hibiscuspass.core.budget import ledger_codec
+from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import permit
+from hibiscuspass.core.configuration import keys
+from hibiscuspass.core.configuration import member
+from tests import admin_fakes
+from tests import config_fakes
+
+A = incarnation.Incarnation("a", "1")
+B = incarnation.Incarnation("b", "1")
+C = incarnation.Incarnation("c", "1")
+PATH = "/v1/workspaces/bakery"
+KEY = ledger_codec.key("bakery")
+
+
+class Budget(admin_fakes.Admin):
+    """The API, a ledger with grants, and holders that answer."""
+
+    def ledger(self):
+        return ledger_codec.decode(self.store.data.values[KEY].value)
+
+    def change_ledger(self, change, *args):
+        current = self.store.data.values.get(KEY)
+        ledger = self.ledger() if current else ledger_lib.Ledger("bakery")
+        changed = change(ledger, *args)
+        assert isinstance(changed, ledger_lib.Ledger), changed
+        self.store.data.write(
+            KEY,
+            current.revision if current else 0,
+            ledger_codec.encode(changed),
+        )
+
+    def set_up(self, witness=B):
+        """Prepays 1000 and grants 400 of it to `a`, 40 of them billed."""
+        self.change_ledger(ledger_lib.top_up, "t", 1000)
+        self.change_ledger(ledger_lib.draw, "g", A, witness, 400)
+        self.add_batch("g", 0, [("r1", 40)], 40)
+        self.change_ledger(ledger_lib.record_settlement, "g", "g", 40, 1)
+
+    def add_batch(self, grant_id, sequence, costs, settled, **fields):
+        records = tuple(
+            billing_batch.BillingRecord(
+                r, grant_id, c, permit.CostKind.REPORTED, "a/1", "m"
+            )
+            for r, c in costs
+        )
+        batch = billing_batch.BillingBatch(
+            records, settled, **{"epoch": 1, **fields}
+        )
+        self.store.data.write(
+            billing_batch.key("bakery", grant_id, sequence),
+            0,
+            billing_batch.encode(batch),
+        )
+
+    def bills(self):
+        return [
+            record
+            for key, value in sorted(self.store.data.values.items())
+            if key.startswith("bills/bakery/")
+            for record in billing_batch.decode(value.value).records
         ]
-        return kv_store.ReadResult(tuple(found), self.revision)
-
-    async def compare_and_swap(
-        self, key, expected_revision, value, *, lease_id=0, timeout_s
-    ):
-        await asyncio.sleep(0)
-        if not self.up:
-            return refusal.Refusal(reason_lib.Reason.UNAVAILABLE)
-        found = self.data.get(key)
-        if (found.revision if found else 0) != expected_revision:
-            return kv_store.CasResult(False, 0, found)
-        self.revision += 1
-        self.data[key] = kv_store.KeyValue(key, value, self.revision)
-        self.changed.set()
-        if self.lose_replies:
-            self.lose_replies -= 1
-            return refusal.Refusal(reason_lib.Reason.TIMEOUT)
-        return kv_store.CasResult(True, self.revision)
-
-    async def grant_lease(self, ttl_s, *, timeout_s):
-        raise NotImplementedError
-
-    async def keep_alive(self, lease_id, *, timeout_s):
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease_id, *, timeout_s):
-        raise NotImplementedError
-
-    def watch(self, prefix, from_revision):
-        raise NotImplementedError
-
-
-class MemoryLinks:
-    """Connects the transports of one test."""
-
-    def __init__(self):
-        self.handlers = {}
-        self.down = set()
-
-
-class MemoryTransport(transport_lib.Transport):
-    """Calls the peer's handler in the same event loop."""
-
-    def __init__(self, links: MemoryLinks, own: incarnation.Incarnation):
-        self._links = links
-        self._own = own
-        links.handlers[own.name] = {}
-
-    async def request(self, address, msg, *, timeout_s):
-        await asyncio.sleep(0)
-        if address in self._links.down or self._own.name in self._links.down:
-            return refusal.Refusal(reason_lib.Reason.UNAVAILABLE)
-        handler = self._links.handlers[address][type(msg)]
-        try:
-            return await asyncio.wait_for(handler(self._own, msg), timeout_s)
-        except TimeoutError:
-            return refusal.Refusal(reason_lib.Reason.TIMEOUT)
-
-    def register(self, msg_type, handler):
-        handlers = self._links.handlers[self._own.name]
-        assert msg_type not in handlers
-        handlers[msg_type] = handler
-
-    async def start(self):
-        pass
-
-    async def close(self):
-        pass
-
-
-class MemoryFleet(fleet_source.FleetSource):
-    """A view that the test changes."""
-
-    def __init__(self):
-        self._changes = subject.BehaviorSubject(fleet_view.FleetView())
-
-    def view(self):
-        return self._changes.value
-
-    def changes(self) -> reactivex.Observable:
-        return self._changes
-
-    def set(self, view: fleet_view.FleetView):
-        self._changes.on_next(view)
-
-
-class OneWorkspace(config_source.ConfigSource):
-    """Knows one workspace."""
-
-    def __init__(self, workspace: workspace_lib.Workspace):
-        self._workspace = workspace
-
-    def workspace(self, name):
-        return self._workspace if name == self._workspace.name else None
-
-    def workspace_by_key_id(self, key_id):
-        return None
 
-    def revision(self, name):
-        return 1
+    def register(self, router, answer=None):
+        address = f"{router.name}:1"
+        self.store.data.write(
+            keys.member(str(router)),
+            0,
+            member.encode(member.Member(address, "domain-a", "north")),
+        )
+        if answer is None:
+            return
+        transport = config_fakes.FakeTransport(self.network, router, address)
+
+        async def on_query(_, msg):
+            assert msg.to == router
+            return messages.GrantAnswer(
+                msg.ask_id, msg.workspace, router, (answer,)
+            )
+
+        async def on_report(_, msg):
+            return attrs.evolve(answer, ask_id=msg.ask_id)
+
+        if isinstance(answer, messages.Report):
+            transport.register(messages.ReportRequest, on_report)
+        else:
+            transport.register(messages.GrantQuery, on_query)
+        self.network.peers[address] = transport
+
+    async def report(self):
+        status, report = await self.call("GET", f"{PATH}/report")
+        assert status == 200, report
+        return report
+
+    async def top_up(self, top_up_id="t1", amount=500):
+        return await self.call(
+            "POST", f"{PATH}/top-ups", {"id": top_up_id, "amount": amount}
+        )
+
+    async def decide(self, charge, grant_id="g"):
+        return await self.call(
+            "POST", f"{PATH}/in-doubt/{grant_id}", {"charge": charge}
+        )
+
+
+async def always_timeout(*args, **kwargs):
+    """Stands for a key-value service whose replies are lost."""
+    return config_fakes.TIMEOUT
+
+
+def bounds(report):
+    """Returns the figures of a report that must always be true."""
+    return (
+        report["spent_at_least"],
+        report["spent_at_most"],
+        report["remaining_at_least"],
+        report["in_doubt"],
+    )
--- a/tests/test_budget_runtime.py
+++ b/tests/test_budget_runtime.py
@@ -20,7 +20,7 @@
 from hibiscuspass.router import budget_runtime
 from hibiscuspass.telemetry import recorder as recorder_lib
 from tests import assertions
-from tests import budget_fakes
+from tests import budget_runtime_fakes
 
 _TIMING = timing_lib.BudgetTiming(
     flush_s=0.01,
@@ -41,9 +41,9 @@
 class Fleet:
     """Three runtimes over shared fakes."""
 
-    kv: budget_fakes.MemoryKv
-    links: budget_fakes.MemoryLinks
-    source: budget_fakes.MemoryFleet
+    kv: budget_runtime_fakes.MemoryKv
+    links: budget_runtime_fakes.MemoryLinks
+    source: budget_runtime_fakes.MemoryFleet
     runtimes: dict[incarnation.Incarnation, budget_runtime.BudgetRuntime]
     attempts: itertools.count = attrs.field(factory=itertools.count)
 
@@ -96,16 +96,16 @@
 
 @pytest_asyncio.fixture
 async def fleet():
-    kv = budget_fakes.MemoryKv()
-    links = budget_fakes.MemoryLinks()
-    source = budget_fakes.MemoryFleet()
-    config = budget_fakes.OneWorkspace(workspace_lib.Workspace("w"))
+    kv = budget_runtime_fakes.MemoryKv()
+    links = budget_runtime_fakes.MemoryLinks()
+    source = budget_runtime_fakes.MemoryFleet()
+    config = budget_runtime_fakes.OneWorkspace(workspace_lib.Workspace("w"))
     routers = [incarnation.Incarnation(f"r{i}", "s") for i in range(3)]
     runtimes = {
         r: budget_runtime.make_budget_runtime(
             r,
             kv=kv,
-            transport=budget_fakes.MemoryTransport(links, r),
+            transport=budget_runtime_fakes.MemoryTransport(links, r),
             fleet=source,
             config=config,
             recorder=recorder_lib.Recorder(r),
