Consolidate what is left of a budget during partitions

Ruled out: asking three more routers after a complete recall; it only opens further grants. A refusal after a recall is now final, routers that did not answer are asked last, and holders poll faster while a router is suspected and the ledger is short.

--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/ask_desk.py
@@ -74,7 +74,7 @@
             if self._ctx.now_s < ask.deadline_s:
                 continue
             if ask.stage is _Stage.RECALLED and not self._state.port.failing:
-                answer = ask_answers.exhausted(ask.msg, final=False)
+                answer = ask_answers.exhausted(ask.msg, final=True)
             else:
                 answer = ask_answers.unavailable(ask.msg)
             self._refuse(ask, answer)
@@ -159,7 +159,10 @@
                 return primary
             return None
         # Standing reserves are for outages and for the end of the budget.
-        reserve_too = self._state.port.failing or ask.stage is not _Stage.NEW
+        stuck = any(g.is_stuck for g in self._state.grants.values())
+        reserve_too = (
+            self._state.port.failing or stuck or ask.stage is not _Stage.NEW
+        )
         usable = [
             g
             for g in self._state.grants.values()
@@ -167,7 +170,7 @@
             and g.room >= need
             and (reserve_too or not g.standing)
         ]
-        return min(usable, key=lambda g: g.standing, default=None)
+        return min(usable, key=lambda g: (g.is_stuck, g.standing), default=None)
 
     def _conclude_ask(self, ask: pending_ask.PendingAsk) -> None:
         led = self._state.port.ledger
--- a/hibiscuspass/core/budget/entry.py
+++ b/hibiscuspass/core/budget/entry.py
@@ -15,7 +15,7 @@
 WAKE_KEY = "\0entry"
 
 # The first routers in rendezvous order; then this router itself is asked.
-_MAX_ASKED_PEERS = 3
+_MAX_ASKED_PEERS = 2
 # A settlement that its holder has not confirmed is checked against the ledger
 # after this many reports.
 _REPORTS_BEFORE_LOOKUP = 2
@@ -63,8 +63,9 @@
                 ),
             )
             return
-        order = self._ctx.fleet.order(req.workspace)[:_MAX_ASKED_PEERS]
-        candidates = list(order)
+        order = self._ctx.fleet.order(req.workspace)
+        trusted = [r for r in order if self._ctx.is_trusted(r)]
+        candidates = trusted[:_MAX_ASKED_PEERS]
         if self._ctx.own not in candidates:
             candidates.append(self._ctx.own)
         attempt = permit_attempt.Attempt(req, deadline_s, candidates)
@@ -229,6 +230,8 @@
             if self._ctx.now_s >= attempt.deadline_s:
                 self._give_up(attempt)
             elif self._ctx.now_s >= attempt.next_at_s:
+                if attempt.asked is not None:
+                    self._ctx.distrust(attempt.asked)
                 self._ask_next(attempt)
             else:
                 self._ctx.wake(
--- a/hibiscuspass/core/budget/fleet_index.py
+++ b/hibiscuspass/core/budget/fleet_index.py
@@ -45,6 +45,14 @@
         """Whether a router has certainly ended."""
         return self._state(router) is fleet_view.MemberState.GONE
 
+    @property
+    def suspects_any(self) -> bool:
+        """Whether a router is suspected, as in a partition."""
+        return any(
+            m.state is fleet_view.MemberState.SUSPECTED
+            for m in self._members.values()
+        )
+
     def is_lost(self, router: incarnation.Incarnation) -> bool:
         """Whether a router has ended or is not known to anyone."""
         return self._state(router) in (None, fleet_view.MemberState.GONE)
@@ -73,8 +81,16 @@
         self,
         grant_id: str,
         excluded: frozenset[incarnation.Incarnation],
+        *,
+        same_domain: bool = False,
     ) -> incarnation.Incarnation | None:
-        """Chooses a witness, in another failure domain if there is one."""
+        """Chooses a witness.
+
+        Args:
+          grant_id: Grant to witness.
+          excluded: Routers that must not be chosen.
+          same_domain: Prefers the own failure domain over another one.
+        """
         own_domain = self._domain(self._own)
         candidates = [
             r
@@ -82,10 +98,23 @@
             if r != self._own and r not in excluded
         ]
         return next(
-            (r for r in candidates if self._domain(r) != own_domain),
+            (
+                r
+                for r in candidates
+                if (self._domain(r) == own_domain) is same_domain
+            ),
             candidates[0] if candidates else None,
         )
 
+    @property
+    def is_alone_in_domain(self) -> bool:
+        """Whether no other live router is in this failure domain."""
+        own_domain = self._domain(self._own)
+        return not any(
+            r != self._own and self._domain(r) == own_domain
+            for r in self.order("")
+        )
+
     def is_first_in_domain(self, key: str) -> bool:
         """Whether this router is first in the order of its failure domain."""
         domain = self._domain(self._own)
--- a/hibiscuspass/core/budget/grant_keeper.py
+++ b/hibiscuspass/core/budget/grant_keeper.py
@@ -236,7 +236,7 @@
 
     def _seek_witness(self, held: held_grant.HeldGrant) -> None:
         """Turns a solo grant into a witnessed one when that is possible."""
-        if held.witness is not None or held.closing:
+        if held.witness is not None or held.closing or held.standing:
             return
         if not self._state.port.failing:
             held.propose()
--- a/hibiscuspass/core/budget/held_grant.py
+++ b/hibiscuspass/core/budget/held_grant.py
@@ -120,6 +120,11 @@
         """Whether new permits can be issued now."""
         return not (self.closing or self.frozen) and self.proposal is None
 
+    @property
+    def is_stuck(self) -> bool:
+        """Whether its witness doesn't answer."""
+        return self._replica is not None and self._replica.is_late
+
     @property
     def ready_to_close(self) -> bool:
         """Whether all spend is in the log under a final batch."""
--- a/hibiscuspass/core/budget/ledger_planner.py
+++ b/hibiscuspass/core/budget/ledger_planner.py
@@ -3,6 +3,7 @@
 from hibiscuspass.core.budget import held_grant
 from hibiscuspass.core.budget import ledger as ledger_lib
 from hibiscuspass.core.budget import ledger_edits
+from hibiscuspass.core.budget import pending_ask
 from hibiscuspass.core.budget import workspace_state
 from hibiscuspass.core.configuration import workspace as workspace_lib
 
@@ -27,8 +28,9 @@
         for held in sorted(
             self._state.grants.values(), key=lambda g: g.standing
         ):
-            give = self._give_back(held, deficit)
-            deficit -= give
+            own = self._own_deficit(new) if held.standing else 0
+            give = self._give_back(held, deficit + own)
+            deficit = max(0, deficit - give)
             new = ledger_edits.apply_held(new, held, give)
         new = self._draw(new, policy)
         if record:
@@ -64,6 +66,19 @@
             return 0
         return max(0, sum(wants.values()) - led.free)
 
+    def _own_deficit(self, led: ledger_lib.Ledger) -> int:
+        """Returns what own asks need beyond all but standing reserves."""
+        needs = [
+            a.msg.worst_case
+            for a in self._state.pending
+            if a.stage is pending_ask.AskStage.RECALLED
+        ]
+        if not needs:
+            return 0
+        target = self._draw_target(led)
+        room = 0 if target is None else target.room
+        return max(0, min(needs) - room - led.free)
+
     def _give_back(self, held: held_grant.HeldGrant, deficit: int) -> int:
         if held.closing:
             return held.returnable if held.table.open_count else 0
@@ -165,8 +180,14 @@
         if led.free < 2 * reserve:
             return led
         self._state.standing_id = self._ctx.unique_name("g")
-        witness = self._ctx.choose_witness(self._state.standing_id)
-        if witness is None:
+        # The reserve is for a failure domain that is cut off, so its permits
+        # must not need another domain.
+        witness = self._ctx.choose_witness(
+            self._state.standing_id, same_domain=True
+        )
+        if self._ctx.fleet.is_alone_in_domain:
+            witness = None if reserve <= policy.solo_grant_limit else witness
+        elif witness is None:
             return led
         return ledger_edits.open_grant(
             self._ctx,
--- a/hibiscuspass/core/budget/node_context.py
+++ b/hibiscuspass/core/budget/node_context.py
@@ -70,15 +70,23 @@
         return f"{kind}.{self.own.name}.{self.own.start_id}.{self.next_id()}"
 
     def distrust(self, router: incarnation.Incarnation) -> None:
-        """Avoids a router as a witness for a while."""
+        """Avoids a router that did not answer for a while."""
         self._distrusted[router] = self.now_s + _DISTRUST_S
 
-    def choose_witness(self, grant_id: str) -> incarnation.Incarnation | None:
+    def is_trusted(self, router: incarnation.Incarnation) -> bool:
+        """Whether a router has not failed to answer lately."""
+        return self._distrusted.get(router, 0.0) <= self.now_s
+
+    def choose_witness(
+        self, grant_id: str, *, same_domain: bool = False
+    ) -> incarnation.Incarnation | None:
         """Returns a witness for a grant, None if no router is reachable."""
         excluded = frozenset(
             r for r, until_s in self._distrusted.items() if until_s > self.now_s
         )
-        return self.fleet.witness_for(grant_id, excluded)
+        return self.fleet.witness_for(
+            grant_id, excluded, same_domain=same_domain
+        )
 
     def send(self, to: incarnation.Incarnation, msg: message.Message) -> None:
         """Sends a message."""
--- a/hibiscuspass/core/budget/replica.py
+++ b/hibiscuspass/core/budget/replica.py
@@ -46,6 +46,11 @@
         """Whether the witness has everything."""
         return self._sent is None and not self._dirty
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the witness has not answered in time."""
+        return self._sent is not None and self.tries > 1
+
     @property
     def lacks_release(self) -> bool:
         """Whether the witness still counts a hold that has shrunk here."""
--- a/hibiscuspass/core/budget/timing.py
+++ b/hibiscuspass/core/budget/timing.py
@@ -16,6 +16,8 @@
       recall_wait_s: Wait for holders to return what they don't use.
       ledger_poll_s: Interval at which holders look for the wants of routers
         that can't reach them directly.
+      partition_poll_s: The same while a router is suspected and the ledger has
+        little left.
       fresh_s: Age up to which a ledger copy may prove that nothing is free.
       kv_backoff_s: Delay after a failed call of the key-value service.
       flush_s: Longest time that a settlement waits for its billing batch.
@@ -31,12 +33,13 @@
       gather_s: Wait for holders' answers to a report.
     """
 
-    ask_timeout_s: float = 1.0
-    ask_expiry_s: float = 1.0
-    append_retry_s: float = 0.2
-    append_tries: int = 4
-    recall_wait_s: float = 0.25
+    ask_timeout_s: float = 0.8
+    ask_expiry_s: float = 0.7
+    append_retry_s: float = 0.1
+    append_tries: int = 3
+    recall_wait_s: float = 0.15
     ledger_poll_s: float = 5.0
+    partition_poll_s: float = 0.5
     fresh_s: float = 0.1
     kv_backoff_s: float = 0.1
     flush_s: float = 2.0
--- a/hibiscuspass/core/budget/workspace_holder.py
+++ b/hibiscuspass/core/budget/workspace_holder.py
@@ -238,6 +238,9 @@
         if not (self.state.grants or self.state.want or self.state.takeovers):
             return False
         poll_s = self._ctx.timing.ledger_poll_s
+        if self.state.ledger_is_short and self._ctx.fleet.suspects_any:
+            # Routers that can't be reached ask through the ledger.
+            poll_s = min(poll_s, self._ctx.timing.partition_poll_s)
         if self.state.want or self.state.takeovers:
             poll_s = min(poll_s, self._ctx.timing.recall_wait_s)
         due_s = read_at_s + poll_s
--- a/hibiscuspass/core/budget/workspace_state.py
+++ b/hibiscuspass/core/budget/workspace_state.py
@@ -51,6 +51,14 @@
         """Whether a held grant is about to get another witness."""
         return any(g.proposal is not None for g in self.grants.values())
 
+    @property
+    def ledger_is_short(self) -> bool:
+        """Whether less is free in the ledger than is unused here."""
+        led = self.port.ledger
+        return led is not None and led.free < sum(
+            g.room for g in self.grants.values()
+        )
+
     def primary(self) -> held_grant.HeldGrant | None:
         """Returns the primary grant if it is held here."""
         led = self.port.ledger
--- a/hibiscuspass/router/budget_runtime.py
+++ b/hibiscuspass/router/budget_runtime.py
@@ -309,9 +309,9 @@
     return timing_lib.BudgetTiming(
         flush_s=settings.flush_interval_s,
         ask_timeout_s=settings.permit_timeout_s,
-        ask_expiry_s=settings.permit_timeout_s,
-        # A recall must end while the entry router still waits.
-        recall_wait_s=settings.permit_timeout_s / 2,
+        # The answer and a recall must arrive while the entry router waits.
+        ask_expiry_s=settings.permit_timeout_s * 0.9,
+        recall_wait_s=settings.permit_timeout_s / 4,
         orphan_window_s=settings.orphan_window_s,
         dedup_retention_s=settings.dedup_retention_s,
     )
