--- a/hibiscuspass/core/budget/messages.py
+++ b/hibiscuspass/core/budget/messages.py
@@ -9,46 +9,19 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import permit as permit_lib
-from hibiscuspass.core.budget import permit_row
 from hibiscuspass.core.budget import permit_table
+from hibiscuspass.core.budget import witness_messages
 
 
 @attrs.frozen
-class Message:
-    """Base of all messages.
-
-    Attributes:
-      ask_id: Number of the request at its sender; repeated in the reply.
-    """
-
-    ask_id: int
-
-
-@attrs.frozen
-class Request(Message):
-    """A message that gets a reply.
-
-    Attributes:
-      to: Incarnation that it is meant for. A newer incarnation of the same
-        router drops it, because it doesn't have the state.
-    """
-
-    to: incarnation.Incarnation
-
-
-@attrs.frozen
-class Reply(Message):
-    """Answers a request."""
-
-
-@attrs.frozen
-class Done(Reply):
+class Done(message.Reply):
     """The request was received."""
 
 
 @attrs.frozen
-class Ask(Request):
+class Ask(message.Request):
     """Asks for a permit; see `permit.PermitRequest`.
 
     `contested` tells that the attempt has asked another router before, which
@@ -65,7 +38,7 @@
 
 
 @attrs.frozen
-class PermitGranted(Reply):
+class PermitGranted(message.Reply):
     """The hold is acknowledged by the witness; the permit may be used."""
 
     workspace: str
@@ -78,7 +51,7 @@
 
 
 @attrs.frozen
-class AskAttached(Reply):
+class AskAttached(message.Reply):
     """Another attempt of the same request has the permit."""
 
     attempt_id: str
@@ -88,7 +61,7 @@
 
 
 @attrs.frozen
-class AskRefused(Reply):
+class AskRefused(message.Reply):
     """No permit.
 
     Attributes:
@@ -109,7 +82,7 @@
 
 
 @attrs.frozen
-class VoidPermit(Request):
+class VoidPermit(message.Request):
     """The attempt will never use a permit of this grant."""
 
     workspace: str
@@ -119,7 +92,7 @@
 
 
 @attrs.frozen
-class PermitUsed(Request):
+class PermitUsed(message.Request):
     """The attempt is about to send to a backend server."""
 
     workspace: str
@@ -130,7 +103,7 @@
 
 
 @attrs.frozen
-class SettlePermit(Request):
+class SettlePermit(message.Request):
     """Final cost of an attempt; repeated until `SettlementsDurable`."""
 
     workspace: str
@@ -142,7 +115,7 @@
 
 
 @attrs.frozen
-class GrantMoved(Reply):
+class GrantMoved(message.Reply):
     """The addressed router doesn't hold the grant.
 
     Attributes:
@@ -162,7 +135,7 @@
 
 
 @attrs.frozen
-class SettlementsDurable(Request):
+class SettlementsDurable(message.Request):
     """The billing records of these attempts are durable."""
 
     grant_id: str
@@ -170,7 +143,7 @@
 
 
 @attrs.frozen
-class StatusCheck(Request):
+class StatusCheck(message.Request):
     """Asks an entry router for the state of open permits.
 
     Also makes the sender known as the holder of the grant.
@@ -204,7 +177,7 @@
 
 
 @attrs.frozen
-class StatusAnswer(Reply):
+class StatusAnswer(message.Reply):
     """Answers `StatusCheck`."""
 
     workspace: str
@@ -213,105 +186,7 @@
 
 
 @attrs.frozen
-class AppendRows(Request):
-    """Rows of a permit table, in order; at most one append is in flight.
-
-    Attributes:
-      grant_id: Grant of the table.
-      operation: Operation of the epoch that the table belongs to.
-      workspace: Workspace of the grant.
-      sequence: Number of the append in the epoch, from 1.
-      rows: Changed rows.
-      batches: Number of durable billing batches.
-      logged: Spend in those batches.
-    """
-
-    grant_id: str
-    operation: str
-    workspace: str
-    sequence: int
-    rows: tuple[permit_row.PermitRow, ...]
-    batches: int
-    logged: int
-
-
-@attrs.frozen
-class RowsAppended(Reply):
-    """Acknowledges an append, or tells that the epoch is sealed."""
-
-    grant_id: str
-    operation: str
-    workspace: str
-    sequence: int
-    sealed: bool
-
-
-@attrs.frozen
-class InstallTable(Request):
-    """Gives a new witness the table of the next epoch."""
-
-    grant_id: str
-    operation: str
-    workspace: str
-    epoch: int
-    table: permit_table.TableSnapshot
-
-
-@attrs.frozen
-class TableInstalled(Reply):
-    """Confirms `InstallTable`."""
-
-    grant_id: str
-    operation: str
-    workspace: str
-
-
-@attrs.frozen
-class SealEpoch(Request):
-    """Ends the acknowledgement of permits in an epoch for good.
-
-    Attributes:
-      grant_id: Grant to seal.
-      operation: Operation of the epoch.
-      workspace: Workspace of the grant.
-      holder: Holder in that epoch.
-    """
-
-    grant_id: str
-    operation: str
-    workspace: str
-    holder: incarnation.Incarnation
-
-
-@attrs.frozen
-class EpochSealed(Reply):
-    """The table of a sealed epoch; None if the witness doesn't have it."""
-
-    grant_id: str
-    operation: str
-    workspace: str
-    table: permit_table.TableSnapshot | None
-
-
-@attrs.frozen
-class ForgetTable(Request):
-    """The epoch is over; the witness doesn't need its table any more."""
-
-    grant_id: str
-    operation: str
-
-
-@attrs.frozen
-class WitnessLeaving(Request):
-    """The witness stops soon; the holder should choose another one."""
-
-    workspace: str
-    grant_id: str
-    operation: str
-
-
-@attrs.frozen
-class RecallBudget(Request):
+class RecallBudget(message.Request):
     """Asks a holder to return what it doesn't use."""
 
     workspace: str
@@ -319,14 +194,14 @@
 
 
 @attrs.frozen
-class BudgetRecalled(Reply):
+class BudgetRecalled(message.Reply):
     """The holder has returned what it could."""
 
     workspace: str
 
 
 @attrs.frozen
-class HandOver(Request):
+class HandOver(message.Request):
     """Gives a grant to another router; the sender no longer issues from it."""
 
     workspace: str
@@ -336,7 +211,7 @@
 
 
 @attrs.frozen
-class GrantQuery(Request):
+class GrantQuery(message.Request):
     """Asks a holder for the live state of its grants."""
 
     workspace: str
@@ -371,7 +246,7 @@
 
 
 @attrs.frozen
-class GrantAnswer(Reply):
+class GrantAnswer(message.Reply):
     """Answers `GrantQuery`."""
 
     workspace: str
@@ -380,14 +255,14 @@
 
 
 @attrs.frozen
-class ReportRequest(Message):
+class ReportRequest(message.Message):
     """Asks any router for a report; sent by administration programs."""
 
     workspace: str
 
 
 @attrs.frozen
-class Report(Reply):
+class Report(message.Reply):
     """State of a workspace's budget.
 
     `spent_at_least` holds from the answer on. `spent_at_most` held when the
@@ -419,33 +294,33 @@
     grants: tuple[GrantState, ...]
 
 
-REQUEST_TYPES: tuple[type[Message], ...] = (
+REQUEST_TYPES: tuple[type[message.Message], ...] = (
     Ask,
     VoidPermit,
     PermitUsed,
     SettlePermit,
     SettlementsDurable,
     StatusCheck,
-    AppendRows,
-    InstallTable,
-    SealEpoch,
-    ForgetTable,
-    WitnessLeaving,
+    witness_messages.AppendRows,
+    witness_messages.InstallTable,
+    witness_messages.SealEpoch,
+    witness_messages.ForgetTable,
+    witness_messages.WitnessLeaving,
     RecallBudget,
     HandOver,
     GrantQuery,
     ReportRequest,
 )
-REPLY_TYPES: tuple[type[Message], ...] = (
+REPLY_TYPES: tuple[type[message.Message], ...] = (
     Done,
     PermitGranted,
     AskAttached,
     AskRefused,
     GrantMoved,
     StatusAnswer,
-    RowsAppended,
-    TableInstalled,
-    EpochSealed,
+    witness_messages.RowsAppended,
+    witness_messages.TableInstalled,
+    witness_messages.EpochSealed,
     BudgetRecalled,
     GrantAnswer,
     Report,
--- a/hibiscuspass/core/budget/replica.py
+++ b/hibiscuspass/core/budget/replica.py
@@ -4,10 +4,10 @@
 import itertools
 
 from hibiscuspass.core import incarnation
-from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit_row
 from hibiscuspass.core.budget import permit_table
+from hibiscuspass.core.budget import witness_messages
 
 
 class Replica:
@@ -35,7 +35,7 @@
         self._operation = operation
         self._dirty: dict[str, permit_row.PermitRow] = {}
         self._log_moved = False
-        self._sent: messages.AppendRows | None = None
+        self._sent: witness_messages.AppendRows | None = None
         self._sent_at_s = 0.0
         self._sequence = 0
         self.witness = witness
@@ -46,6 +46,11 @@
         """Whether the witness has everything."""
         return self._sent is None and not self._dirty
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the witness has not answered in time."""
+        return self._sent is not None and self.tries > 1
+
     @property
     def lacks_release(self) -> bool:
         """Whether the witness still counts a hold that has shrunk here."""
@@ -94,7 +99,7 @@
         return self._sent_at_s + retry_s
 
     def on_appended(
-        self, msg: messages.RowsAppended
+        self, msg: witness_messages.RowsAppended
     ) -> tuple[permit_row.PermitRow, ...]:
         """Returns the rows that are acknowledged now."""
         if self._sent is None or msg.sequence != self._sent.sequence:
@@ -107,8 +112,8 @@
         self,
         rows: tuple[permit_row.PermitRow, ...],
         table: permit_table.PermitTable,
-    ) -> messages.AppendRows:
-        return messages.AppendRows(
+    ) -> witness_messages.AppendRows:
+        return witness_messages.AppendRows(
             self._ctx.next_id(),
             self.witness,
             self._grant_id,
--- a/hibiscuspass/core/budget/workspace_holder.py
+++ b/hibiscuspass/core/budget/workspace_holder.py
@@ -13,6 +13,7 @@
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit_row
+from hibiscuspass.core.budget import witness_messages
 from hibiscuspass.core.budget import workspace_state
 
 _OnLedger = Callable[[ledger_port.LedgerPort], None]
@@ -113,7 +114,9 @@
         self._ctx.send(sender, messages.Done(msg.ask_id))
 
     def on_appended(
-        self, sender: incarnation.Incarnation, msg: messages.RowsAppended
+        self,
+        sender: incarnation.Incarnation,
+        msg: witness_messages.RowsAppended,
     ) -> None:
         """Takes in a witness's acknowledgement."""
         held = self.state.grants.get(msg.grant_id)
@@ -121,7 +124,9 @@
             held.on_appended(sender, msg)
 
     def on_installed(
-        self, sender: incarnation.Incarnation, msg: messages.TableInstalled
+        self,
+        sender: incarnation.Incarnation,
+        msg: witness_messages.TableInstalled,
     ) -> None:
         """Takes in a new witness's confirmation."""
         held = self.state.grants.get(msg.grant_id)
@@ -132,14 +137,14 @@
             t.proposal.on_installed(sender, msg)
 
     def on_sealed(
-        self, sender: incarnation.Incarnation, msg: messages.EpochSealed
+        self, sender: incarnation.Incarnation, msg: witness_messages.EpochSealed
     ) -> None:
         """Takes in the table of a sealed epoch."""
         t = self.state.takeovers.get(msg.grant_id)
         if t is not None:
             t.on_sealed(sender, msg)
 
-    def on_witness_leaving(self, msg: messages.WitnessLeaving) -> None:
+    def on_witness_leaving(self, msg: witness_messages.WitnessLeaving) -> None:
         """Replaces a witness that is about to stop."""
         held = self.state.grants.get(msg.grant_id)
         if held is not None and held.operation == msg.operation:
@@ -233,6 +238,9 @@
         if not (self.state.grants or self.state.want or self.state.takeovers):
             return False
         poll_s = self._ctx.timing.ledger_poll_s
+        if self.state.ledger_is_short and self._ctx.fleet.suspects_any:
+            # Routers that can't be reached ask through the ledger.
+            poll_s = min(poll_s, self._ctx.timing.partition_poll_s)
         if self.state.want or self.state.takeovers:
             poll_s = min(poll_s, self._ctx.timing.recall_wait_s)
         due_s = read_at_s + poll_s
--- /dev/null
+++ b/tests/budget_checks.py
@@ -0,0 +1,66 @@
+"""The guarantees that a simulated fleet must keep."""
+
+import collections
+
+from tests import budget_books
+from tests import budget_truth
+
+
+class Checks(budget_books.Books, budget_truth.Truth):
+    """Compares the books with the truth."""
+
+    def __init__(self) -> None:
+        budget_books.Books.__init__(self)
+        budget_truth.Truth.__init__(self)
+
+    def check_no_overspend(self) -> None:
+        """Asserts the budget guarantee at this moment."""
+        prepaid = self.ledger().prepaid
+        assert self.spent() <= prepaid, (
+            f"overspend: {self.spent()} of {prepaid}"
+        )
+
+    def check_refusals(self) -> None:
+        """Asserts that no request was refused as not run after it ran.
+
+        Deduplication ends with a grant that an operator had to decide on.
+        """
+        untrue = [
+            attempt_id
+            for attempt_id, grants in self.untrue_refusals
+            if not grants <= self.charged
+        ]
+        assert not untrue, untrue
+
+    def check_billing(self) -> None:
+        """Asserts the billing guarantee after quiescence."""
+        counts = collections.Counter(r.request_id for r in self.records())
+        repeated = {i: n for i, n in counts.items() if n > 1}
+        assert not repeated, f"billed more than once: {repeated}"
+        for run in self.runs.values():
+            ran = run.cost is None or run.cost > 0
+            if not ran or run.permit.grant_id in self.charged:
+                continue
+            assert counts[run.permit.request_id] == 1, f"not billed: {run}"
+        by_request = {r.request_id: r for r in self.records()}
+        for run in self.runs.values():
+            record = by_request.get(run.permit.request_id)
+            if run.cost and record and not run.entry_lost:
+                assert record.cost >= run.cost, (run, record)
+        led = self.ledger()
+        logged: dict[str, int] = {}
+        for key, batch in self.batches():
+            logged[key.split("/")[2]] = batch.settled
+        open_logged = sum(logged.get(i, 0) for i in led.grants)
+        total = sum(r.cost for r in self.records())
+        assert total == led.settled + open_logged, (total, led, logged)
+
+    def check_quiet(self) -> None:
+        """Asserts that nothing is left in progress after quiescence."""
+        for own, router in self.routers.items():
+            assert not router.node.entry.uses, (own, router.node.entry.uses)
+            for holder in router.node.holders.values():
+                for held in holder.state.grants.values():
+                    assert held.table.open_count == 0, held.table.rows
+        for g in self.ledger().grants.values():
+            assert g.holder in self.routers, f"stranded: {g}"
--- a/tests/test_budget_protocol.py
+++ b/tests/test_budget_protocol.py
@@ -5,6 +5,7 @@
 schedules are hard enough: each one lacks a mechanism and must be caught.
 """
 
+import collections
 import random
 
 import attrs
@@ -204,7 +205,7 @@
     """Guards against schedules that have become too tame to prove anything."""
     total = sum(
         (budget_walk.walk(seed).events for seed in range(60)),
-        start=budget_world.Counter(),
+        start=collections.Counter(),
     )
     for kind in (
         "takeover.done",
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -5,7 +5,6 @@
 
 import aiohttp
 import msgspec
-import pytest
 import pytest_asyncio
 
 from tests import process_fleet
