Keep a primary grant that was taken over in use

Ruled out: checking only safety after a schedule; requests after quiescence may now be refused only because the budget is used up.

--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/ask_desk.py
@@ -88,10 +88,14 @@
                 ask.stage = _Stage.RECALLED
                 ask.fresh_after_s = self._ctx.now_s
         if self._recall.waiting:
-            self._state.want = sum(
-                a.msg.worst_case
-                for a in self._state.pending
-                if a.stage is _Stage.RECALLED
+            # A want only grows until it is withdrawn, to spare writes.
+            self._state.want = max(
+                self._state.want,
+                sum(
+                    a.msg.worst_case
+                    for a in self._state.pending
+                    if a.stage is _Stage.RECALLED
+                ),
             )
             self._state.want_until_s = self._ctx.now_s + _WANT_KEPT_S
         self._recall = None
--- a/hibiscuspass/core/budget/held_grant.py
+++ b/hibiscuspass/core/budget/held_grant.py
@@ -39,8 +39,7 @@
       amount: Amount in the ledger; `ceiling` is a lower one that an open
         write may bring, or None.
       standing: Whether it is a standing reserve.
-      closing: Whether it issues no more permits, to be closed.
-      frozen: Whether it is being handed over.
+      closing: Whether it is about to be closed; `frozen`: to be handed over.
       table: The permits; `billing` is their log.
       claims: Claims of requests that other grants may bill as well.
       proposal: Change of witness on its way into the ledger.
@@ -93,9 +92,8 @@
     @property
     def usable(self) -> int:
         """Amount that is certainly granted whatever becomes of a write."""
-        if self.ceiling is None:
-            return self.amount
-        return min(self.amount, self.ceiling)
+        ceiling = self.amount if self.ceiling is None else self.ceiling
+        return min(self.amount, ceiling)
 
     @property
     def room(self) -> int:
@@ -109,9 +107,8 @@
         A router that takes the grant over starts from the witness's table, so
         the remaining amount must cover the holds that the witness knows.
         """
-        if self.proposal is not None or self.frozen:
-            return 0
-        if self._replica is not None and self._replica.lacks_release:
+        lacks = self._replica is not None and self._replica.lacks_release
+        if self.proposal is not None or self.frozen or lacks:
             return 0
         return max(0, self.room)
 
@@ -158,7 +155,6 @@
         ask: messages.Ask,
     ) -> None:
         """Gives the permit of a router that is gone to a retry."""
-        self.used_at_s = self._ctx.now_s
         self.waiters.add(sender, ask)
         self.put(permit_row.reassigned(row, ask.attempt_id, sender))
 
@@ -223,8 +219,8 @@
             self._pump_proposal(),
             self.claims.pump(),
         ]
-        closing = self.closing and self._quiet_but_log
-        wakes.append(self.billing.pump(self.epoch, closing=closing))
+        final = self.closing and self._quiet_but_log
+        wakes.append(self.billing.pump(self.epoch, closing=final))
         self.notices.flush()
         for at_s in wakes:
             if at_s is not None:
@@ -250,9 +246,8 @@
             self.propose()
             return
         if self.proposal is not None:
-            if self.proposal.sent or self._ctx.fleet.is_live(sender) is False:
-                # The next epoch's witness must know each permit that is used,
-                # so this acknowledgement comes too late.
+            if self.proposal.sent or not self._ctx.fleet.is_live(sender):
+                # Too late: the next witness must know each permit in use.
                 return
             self.proposal = None
         for row in replica.on_appended(msg):
--- a/hibiscuspass/core/budget/workspace_state.py
+++ b/hibiscuspass/core/budget/workspace_state.py
@@ -66,7 +66,8 @@
 
     def is_primary(self, held: held_grant.HeldGrant) -> bool:
         """Whether a grant is the primary one."""
-        return self.primary() is held
+        led = self.port.ledger
+        return led is not None and led.primary == held.id
 
     def current_want(self) -> int:
         """Returns the want, which is withdrawn after a while."""
