End open streams when an adapter is closed

Cause: closing the HTTP session leaves readers of open responses waiting, and connections given up after a timeout were no longer known to the client. A watch or stream could so outlive the close of its adapter until its idle limit. The client now keeps its exchanges and ends them.

Ruled out: closing the connector alone.

--- a/hibiscuspass/backends/http_client.py
+++ b/hibiscuspass/backends/http_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 import contextlib
 import types
+import weakref
 
 import aiohttp
 import attrs
@@ -82,6 +83,7 @@
         trace.on_request_headers_sent.append(_on_headers)
         self.in_use = 0
         self.retired = False
+        self.exchanges: set[Exchange] = set()
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=connection_limit),
             # Responses to one caller must not influence another's request.
@@ -99,6 +101,12 @@
         if self.retired and not self.in_use:
             await self.session.close()
 
+    async def close(self) -> None:
+        # Closing the session alone leaves readers of open responses waiting.
+        for exchange in tuple(self.exchanges):
+            exchange.abort()
+        await self.session.close()
+
 
 class Exchange:
     """A response whose body is being read.
@@ -109,14 +117,13 @@
 
     def __init__(
         self,
-        client: "HttpClient",
         pool: _Pool,
         response: aiohttp.ClientResponse,
     ) -> None:
         self.response = response
-        self._client = client
         self._pool = pool
         self._released = False
+        pool.exchanges.add(self)
 
     def abort(self) -> None:
         """Closes the connection at once, with unread and unsent bytes."""
@@ -130,6 +137,7 @@
         if self._released:
             return
         self._released = True
+        self._pool.exchanges.discard(self)
         if not self.response.content.at_eof():
             self.abort()
         self.response.release()
@@ -166,6 +174,8 @@
         self._connection_limit = connection_limit
         self._max_response_bytes = max_response_bytes
         self._pool: _Pool | None = None
+        # Pools given up after a timeout, as long as an exchange uses them.
+        self._retired: weakref.WeakSet[_Pool] = weakref.WeakSet()
 
     async def open(
         self,
@@ -193,7 +203,7 @@
                     allow_redirects=False,
                     trace_request_ctx=attempt,
                 )
-            exchange = Exchange(self, pool, response)
+            exchange = Exchange(pool, response)
             return exchange
         except TimeoutError:
             if attempt.sent:
@@ -240,14 +250,14 @@
         pool, self._pool = self._pool, None
         if pool:
             pool.retired = True
+            self._retired.add(pool)
             await pool.close_if_unused()
 
     async def close(self) -> None:
         """Closes the connections; later calls open new ones."""
-        pool, self._pool = self._pool, None
-        if pool:
-            pool.retired = True
-            await pool.session.close()
+        await self.retire()
+        for pool in tuple(self._retired):
+            await pool.close()
 
 
 def _text(exc: BaseException) -> str:
