Let witnesses stop when no other router can replace them

Cause: a router that was only a witness never worked on its planned stop, because no workspace was touched; and a witness waited for its replacement also when no other router was left. The demonstration's second router then ended with status 1 after the drain bound. Ruled out: a longer bound; nothing was in progress. Before: 3 of 3 new tests fail. After: they pass; the demonstration ends with 0. Conclusion: a planned stop waits only for what can happen. The last router of a fleet still can't hand over a primary grant.

--- a/hibiscuspass/core/budget/node.py
+++ b/hibiscuspass/core/budget/node.py
@@ -93,6 +93,9 @@
 
     def _settle_down(self) -> tuple[actions.Action, ...]:
         result: list[actions.Action] = []
+        if self.ctx.draining:
+            # A router that is only a witness touches no workspace.
+            self._pump_drain()
         while self._touched or self.ctx.out:
             touched, self._touched = self._touched, {}
             for workspace in touched:
@@ -140,9 +143,11 @@
 
     def _pump_drain(self) -> None:
         leaving = [
-            (t, key)
-            for key, t in self.witness.tables.items()
-            if t.holder is not None and not t.sealed
+            (t, (grant_id, operation))
+            for (grant_id, operation), t in self.witness.tables.items()
+            if t.holder is not None
+            and not t.sealed
+            and self._has_other_witness(t.holder, grant_id)
         ]
         for t, (grant_id, operation) in leaving:
             if t.holder is not None and self.ctx.fleet.is_live(t.holder):
@@ -152,6 +157,13 @@
             other_roles_done=not leaving and self.entry.settled_everywhere,
         )
 
+    def _has_other_witness(self, holder: _Sender, grant_id: str) -> bool:
+        """Whether waiting for the holder to replace this witness can help."""
+        return any(
+            router not in (holder, self.ctx.own)
+            for router in self.ctx.fleet.order(grant_id)
+        )
+
     def _warn_holder(
         self, table: witness.WitnessTable, grant_id: str, operation: str
     ) -> None:
