Run the demonstration with all programs

Cause: routers and coordinator are there now.

Ruled out: believing any answer at a program's address; a second demonstration at the same time answered for the first, so a program that has ended is noticed before its probe is asked.

Before: a partial trial. With router-b as the second router to stop, it can't hand over the primary grant of bakery (two of two runs: flushed false, exit code 1), because no router is left as the new witness; so it stops first here.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -48,9 +48,22 @@
 }
 trap abort EXIT
 
+is_running() { # name
+  local i
+  for ((i = 0; i < ${#names[@]}; i++)); do
+    [[ ${names[i]} == "$1" ]] && kill -0 "${pids[i]}" 2>/dev/null && return 0
+  done
+  return 1
+}
+
 wait_for() { # name url
   local i
   for ((i = 0; i < MAX_LOOKS; i++)); do
+    # Checked first: another program may answer at the address.
+    if ! is_running "$1"; then
+      echo "$1 has ended; its port may be in use; see $RUN/$1.log" >&2
+      return 1
+    fi
     curl --silent --fail --output /dev/null "$2" && return 0
     sleep 0.2
   done
@@ -85,7 +98,9 @@
 wait_for platform http://127.0.0.1:7000/vms
 
 say "Start three routers, the administration program and the coordinator"
-for router in router-a router-b router-c; do
+# router-b is the last to start and the first to stop: it holds the primary
+# grant of bakery, and handing that over needs a new holder and a new witness.
+for router in router-c router-a router-b; do
   start "$router" "$PYTHON" -m hibiscuspass.router.main "examples/$router.yaml"
 done
 start admin "$PYTHON" -m hibiscuspass.admin.main examples/admin.yaml
@@ -141,6 +156,7 @@
 say "Report"
 sleep 2
 ctl report bakery
+echo
 ctl report hut-7
 
 say "Timeline of hut-7"
