--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/ask_desk.py
@@ -78,7 +78,7 @@
             # primary grant that another router holds.
             unsure = self._state.port.failing or ask.msg.keyed
             if recalled and not unsure:
-                answer = ask_answers.exhausted(ask.msg, final=False)
+                answer = ask_answers.exhausted(ask.msg, final=True)
             else:
                 answer = ask_answers.unavailable(ask.msg)
             self._refuse(ask, answer)
@@ -92,10 +92,14 @@
                 ask.stage = _Stage.RECALLED
                 ask.fresh_after_s = self._ctx.now_s
         if self._recall.waiting:
-            self._state.want = sum(
-                a.msg.worst_case
-                for a in self._state.pending
-                if a.stage is _Stage.RECALLED
+            # A want only grows until it is withdrawn, to spare writes.
+            self._state.want = max(
+                self._state.want,
+                sum(
+                    a.msg.worst_case
+                    for a in self._state.pending
+                    if a.stage is _Stage.RECALLED
+                ),
             )
             self._state.want_until_s = self._ctx.now_s + _WANT_KEPT_S
         self._recall = None
@@ -149,7 +153,7 @@
             elif held.is_acknowledged(row.request_id):
                 self._ctx.send(ask.sender, held.granted(row, msg.ask_id))
             else:
-                held.wait_for(ask.sender, msg)
+                held.waiters.add(ask.sender, msg)
         elif not self._ctx.fleet.is_gone(row.entry):
             self._ctx.send(ask.sender, ask_answers.attached(msg, row))
         elif msg.worst_case > row.hold:
@@ -170,7 +174,10 @@
                 return primary
             return None
         # Standing reserves are for outages and for the end of the budget.
-        reserve_too = self._state.port.failing or ask.stage is not _Stage.NEW
+        stuck = any(g.is_stuck for g in self._state.grants.values())
+        reserve_too = (
+            self._state.port.failing or stuck or ask.stage is not _Stage.NEW
+        )
         usable = [
             g
             for g in self._state.grants.values()
@@ -178,7 +185,7 @@
             and g.room >= need
             and (reserve_too or not g.standing)
         ]
-        return min(usable, key=lambda g: g.standing, default=None)
+        return min(usable, key=lambda g: (g.is_stuck, g.standing), default=None)
 
     def _conclude_ask(self, ask: pending_ask.PendingAsk) -> None:
         led = self._state.port.ledger
--- a/hibiscuspass/core/budget/grant_keeper.py
+++ b/hibiscuspass/core/budget/grant_keeper.py
@@ -10,6 +10,7 @@
 from hibiscuspass.core.budget import permit_checks
 from hibiscuspass.core.budget import permit_table
 from hibiscuspass.core.budget import takeover as takeover_lib
+from hibiscuspass.core.budget import witness_messages
 from hibiscuspass.core.budget import workspace_state
 
 _Requeue = Callable[[incarnation.Incarnation, messages.Ask], None]
@@ -168,7 +169,7 @@
             if old.witness is not None:
                 self._ctx.send(
                     old.witness,
-                    messages.ForgetTable(
+                    witness_messages.ForgetTable(
                         self._ctx.next_id(), old.witness, g.id, old.operation
                     ),
                 )
@@ -198,14 +199,14 @@
         self._ctx.emit(
             "grant.dropped", workspace=self._state.workspace, grant_id=held.id
         )
-        for sender, msg in held.unanswered():
+        for sender, msg in held.waiters.all():
             self.requeue(sender, msg)
 
     def _forget_table(self, held: held_grant.HeldGrant) -> None:
         if held.witness is not None:
             self._ctx.send(
                 held.witness,
-                messages.ForgetTable(
+                witness_messages.ForgetTable(
                     self._ctx.next_id(),
                     held.witness,
                     held.id,
@@ -235,7 +236,7 @@
 
     def _seek_witness(self, held: held_grant.HeldGrant) -> None:
         """Turns a solo grant into a witnessed one when that is possible."""
-        if held.witness is not None or held.closing:
+        if held.witness is not None or held.closing or held.standing:
             return
         if not self._state.port.failing:
             held.propose()
--- a/hibiscuspass/core/budget/held_grant.py
+++ b/hibiscuspass/core/budget/held_grant.py
@@ -1,11 +1,12 @@
 """A grant that this router holds."""
 
 from collections.abc import Iterable
-import itertools
 
 import attrs
 
 from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import ask_answers
+from hibiscuspass.core.budget import ask_waiters
 from hibiscuspass.core.budget import billing_batch
 from hibiscuspass.core.budget import billing_log
 from hibiscuspass.core.budget import grant as grant_lib
@@ -18,6 +19,7 @@
 from hibiscuspass.core.budget import replica as replica_lib
 from hibiscuspass.core.budget import request_claims
 from hibiscuspass.core.budget import settlement_notices
+from hibiscuspass.core.budget import witness_messages
 
 _OPEN = permit_row.RowState.OPEN
 _SETTLED = permit_row.RowState.SETTLED
@@ -34,17 +36,14 @@
       operation: Operation of the epoch.
       epoch: Epoch of the grant.
       witness: Router that acknowledges permits; None for a solo grant.
-      amount: Amount in the ledger.
-      ceiling: Lower amount that a write in progress may bring; None if there
-        is none.
-      standing: Whether the grant is a standing reserve.
-      closing: Whether no more permits are issued, so that it can be closed.
-      frozen: Whether the grant is being handed over.
-      table: The permits.
-      billing: The billing log.
+      amount: Amount in the ledger; `ceiling` is a lower one that an open
+        write may bring, or None.
+      standing: Whether it is a standing reserve.
+      closing: Whether it is about to be closed; `frozen`: to be handed over.
+      table: The permits; `billing` is their log.
       claims: Claims of requests that other grants may bill as well.
       proposal: Change of witness on its way into the ledger.
-      waiters: Asks that wait for the witness, by request id.
+      waiters: Asks that wait for the witness.
       used_at_s: Time of the latest permit.
     """
 
@@ -83,9 +82,7 @@
             on_lost=self._release_claimed,
         )
         self.proposal: proposal_lib.Proposal | None = None
-        self.waiters: dict[
-            str, list[tuple[incarnation.Incarnation, messages.Ask]]
-        ] = {}
+        self.waiters = ask_waiters.AskWaiters()
         self.used_at_s = ctx.now_s
         self.notices = settlement_notices.SettlementNotices(ctx, grant.id)
         self._replica = self._make_replica()
@@ -95,9 +92,8 @@
     @property
     def usable(self) -> int:
         """Amount that is certainly granted whatever becomes of a write."""
-        if self.ceiling is None:
-            return self.amount
-        return min(self.amount, self.ceiling)
+        ceiling = self.amount if self.ceiling is None else self.ceiling
+        return min(self.amount, ceiling)
 
     @property
     def room(self) -> int:
@@ -111,9 +107,8 @@
         A router that takes the grant over starts from the witness's table, so
         the remaining amount must cover the holds that the witness knows.
         """
-        if self.proposal is not None or self.frozen:
-            return 0
-        if self._replica is not None and self._replica.lacks_release:
+        lacks = self._replica is not None and self._replica.lacks_release
+        if self.proposal is not None or self.frozen or lacks:
             return 0
         return max(0, self.room)
 
@@ -122,6 +117,11 @@
         """Whether new permits can be issued now."""
         return not (self.closing or self.frozen) and self.proposal is None
 
+    @property
+    def is_stuck(self) -> bool:
+        """Whether its witness doesn't answer."""
+        return self._replica is not None and self._replica.is_late
+
     @property
     def ready_to_close(self) -> bool:
         """Whether all spend is in the log under a final batch."""
@@ -129,13 +129,10 @@
             self.closing
             and not self.frozen
             and self.billing.final
-            and self._quiet
+            and self.table.open_count == 0
+            and self.table.unlogged == 0
         )
 
-    @property
-    def _quiet(self) -> bool:
-        return self.table.open_count == 0 and self.table.unlogged == 0
-
     def open(self, sender: incarnation.Incarnation, ask: messages.Ask) -> None:
         """Holds the worst case of a request; the caller checked the room."""
         self.used_at_s = self._ctx.now_s
@@ -148,7 +145,7 @@
             ask.model,
             contested=ask.contested,
         )
-        self.wait_for(sender, ask)
+        self.waiters.add(sender, ask)
         self.put(row)
 
     def reassign(
@@ -158,23 +155,8 @@
         ask: messages.Ask,
     ) -> None:
         """Gives the permit of a router that is gone to a retry."""
-        self.used_at_s = self._ctx.now_s
-        self.wait_for(sender, ask)
-        self.put(
-            attrs.evolve(
-                row,
-                attempt_id=ask.attempt_id,
-                entry=sender,
-                former_entry=row.former_entry or row.entry,
-                former_attempt=row.former_attempt or row.attempt_id,
-            )
-        )
-
-    def wait_for(
-        self, sender: incarnation.Incarnation, ask: messages.Ask
-    ) -> None:
-        """Answers an ask once the witness has acknowledged its permit."""
-        self.waiters.setdefault(ask.request_id, []).append((sender, ask))
+        self.waiters.add(sender, ask)
+        self.put(permit_row.reassigned(row, ask.attempt_id, sender))
 
     def is_acknowledged(self, request_id: str) -> bool:
         """Whether the witness has the present row of a request."""
@@ -189,10 +171,12 @@
     ) -> None:
         """Takes in the final cost of an attempt."""
         row = self.table.rows.get(msg.request_id)
-        if row is None or row.attempt_id != msg.attempt_id:
-            # The attempt was billed or found void earlier.
-            self.notices.add(sender, msg.attempt_id)
-        elif row.state is _BILLED:
+        if (
+            row is None
+            or row.attempt_id != msg.attempt_id
+            or row.state is _BILLED
+        ):
+            # It was billed or found void earlier.
             self.notices.add(sender, msg.attempt_id)
         elif row.state is _OPEN:
             self.finish(row, msg.cost, msg.kind)
@@ -207,41 +191,18 @@
         if cost <= 0:
             self.release(row)
             self.notices.add(row.entry, row.attempt_id)
-            return
-        self.put(
-            attrs.evolve(
-                row, state=_SETTLED, cost=min(cost, row.hold), kind=kind
-            )
-        )
+        else:
+            self.put(permit_row.settled(row, cost, kind))
 
     def release(self, row: permit_row.PermitRow) -> None:
-        """Ends an open permit that its attempt has not used.
-
-        An attempt of a router that is gone may have run before, so its permit
-        becomes orphaned again.
-        """
-        if row.former_entry is None:
-            self.put(attrs.evolve(row, state=_REMOVED))
-            return
-        self.put(
-            attrs.evolve(
-                row,
-                entry=row.former_entry,
-                attempt_id=row.former_attempt,
-                former_entry=None,
-                former_attempt="",
-            )
-        )
-
-    def forget(self, row: permit_row.PermitRow) -> None:
-        """Removes a billed row whose retention has ended."""
-        self.put(attrs.evolve(row, state=_REMOVED))
+        """Ends an open permit that its attempt has not used."""
+        self.put(permit_row.released(row))
 
     def put(self, row: permit_row.PermitRow) -> None:
         """Changes the table and queues the row for the witness."""
         self.table.put(row)
         if row.state is not _OPEN:
-            self.waiters.pop(row.request_id, None)
+            self.waiters.pop(row)
         if self.proposal is not None:
             self.proposal.changed[row.request_id] = row
         if self._replica is not None:
@@ -258,8 +219,8 @@
             self._pump_proposal(),
             self.claims.pump(),
         ]
-        closing = self.closing and self._quiet_but_log
-        wakes.append(self.billing.pump(self.epoch, closing=closing))
+        final = self.closing and self._quiet_but_log
+        wakes.append(self.billing.pump(self.epoch, closing=final))
         self.notices.flush()
         for at_s in wakes:
             if at_s is not None:
@@ -272,21 +233,21 @@
         )
 
     def on_appended(
-        self, sender: incarnation.Incarnation, msg: messages.RowsAppended
+        self,
+        sender: incarnation.Incarnation,
+        msg: witness_messages.RowsAppended,
     ) -> None:
         """Takes in an acknowledgement of the witness."""
         replica = self._replica
-        if replica is None or self.frozen:
-            return
-        if msg.operation != self.operation or sender != self.witness:
+        expected = msg.operation == self.operation and sender == self.witness
+        if replica is None or self.frozen or not expected:
             return
         if msg.sealed:
             self.propose()
             return
         if self.proposal is not None:
-            if self.proposal.sent or self._ctx.fleet.is_live(sender) is False:
-                # The next epoch's witness must know each permit that is used,
-                # so this acknowledgement comes too late.
+            if self.proposal.sent or not self._ctx.fleet.is_live(sender):
+                # Too late: the next witness must know each permit in use.
                 return
             self.proposal = None
         for row in replica.on_appended(msg):
@@ -330,15 +291,11 @@
         if old_witness is not None:
             self._ctx.send(
                 old_witness,
-                messages.ForgetTable(
+                witness_messages.ForgetTable(
                     self._ctx.next_id(), old_witness, self.id, old_operation
                 ),
             )
 
-    def unanswered(self) -> list[tuple[incarnation.Incarnation, messages.Ask]]:
-        """Returns the asks that still wait, for another grant to serve."""
-        return list(itertools.chain.from_iterable(self.waiters.values()))
-
     def _usable_before_acknowledgement(self) -> bool:
         return self.witness is None
 
@@ -385,22 +342,12 @@
             self._answer_waiters(row)
 
     def _bill(self, row: permit_row.PermitRow) -> None:
-        if self.table.rows.get(row.request_id) != row:
-            return
-        self.billing.add(
-            billing_batch.BillingRecord(
-                row.request_id,
-                self.id,
-                row.cost,
-                row.kind,
-                str(row.entry),
-                row.model,
-            )
-        )
+        if self.table.rows.get(row.request_id) == row:
+            self.billing.add(billing_batch.record_of(row, self.id))
 
     def _release_claimed(self, row: permit_row.PermitRow) -> None:
         if self.table.rows.get(row.request_id) == row and not self.frozen:
-            self.put(attrs.evolve(row, state=_REMOVED))
+            self.put(permit_row.removed(row))
             self.notices.add(row.entry, row.attempt_id)
 
     def contest(
@@ -410,27 +357,19 @@
         ask: messages.Ask,
     ) -> None:
         """Records that the entry router has asked another router since."""
-        self.wait_for(sender, ask)
+        self.waiters.add(sender, ask)
         self.put(attrs.evolve(row, contested=True))
 
     def _answer_waiters(self, row: permit_row.PermitRow) -> None:
-        for sender, ask in self.waiters.pop(row.request_id, ()):
-            if ask.attempt_id == row.attempt_id and sender == row.entry:
-                self._ctx.send(sender, self.granted(row, ask.ask_id))
+        for sender, ask in self.waiters.pop(row):
+            self._ctx.send(sender, self.granted(row, ask.ask_id))
 
     def granted(
         self, row: permit_row.PermitRow, ask_id: int
     ) -> messages.PermitGranted:
         """Returns the answer for an acknowledged open permit."""
-        return messages.PermitGranted(
-            ask_id,
-            self.workspace,
-            row.request_id,
-            row.attempt_id,
-            self.id,
-            self.epoch,
-            row.hold,
-            row.backend,
+        return ask_answers.granted(
+            row, ask_id, self.workspace, self.id, self.epoch
         )
 
     def _on_logged(
--- a/hibiscuspass/core/budget/permit_checks.py
+++ b/hibiscuspass/core/budget/permit_checks.py
@@ -127,7 +127,7 @@
         kept_s = self._ctx.timing.dedup_retention_s
         for request_id, since_s in self._billed_since_s.items():
             if now_s >= since_s + kept_s:
-                self._held.forget(billed[request_id])
+                self._held.put(permit_row.removed(billed[request_id]))
 
 
 def _open_rows(held: held_grant.HeldGrant) -> list[permit_row.PermitRow]:
--- a/hibiscuspass/core/budget/permit_row.py
+++ b/hibiscuspass/core/budget/permit_row.py
@@ -54,3 +54,45 @@
     contested: bool = False
     former_entry: incarnation.Incarnation | None = None
     former_attempt: str = ""
+
+
+def removed(row: PermitRow) -> PermitRow:
+    """Returns the row that takes a permit out of the table."""
+    return attrs.evolve(row, state=RowState.REMOVED)
+
+
+def settled(row: PermitRow, cost: int, kind: permit_lib.CostKind) -> PermitRow:
+    """Returns the row with its final cost, at most the hold."""
+    return attrs.evolve(
+        row, state=RowState.SETTLED, cost=min(cost, row.hold), kind=kind
+    )
+
+
+def reassigned(
+    row: PermitRow, attempt_id: str, entry: incarnation.Incarnation
+) -> PermitRow:
+    """Returns the row with the retry that takes the permit over."""
+    return attrs.evolve(
+        row,
+        attempt_id=attempt_id,
+        entry=entry,
+        former_entry=row.former_entry or row.entry,
+        former_attempt=row.former_attempt or row.attempt_id,
+    )
+
+
+def released(row: PermitRow) -> PermitRow:
+    """Returns the row of a permit that its attempt has not used.
+
+    An attempt of a router that is gone may have run before, so its permit
+    becomes orphaned again.
+    """
+    if row.former_entry is None:
+        return removed(row)
+    return attrs.evolve(
+        row,
+        entry=row.former_entry,
+        attempt_id=row.former_attempt,
+        former_entry=None,
+        former_attempt="",
+    )
--- a/hibiscuspass/core/budget/proposal.py
+++ b/hibiscuspass/core/budget/proposal.py
@@ -1,10 +1,10 @@
 """A change of witness or holder on its way into the ledger."""
 
 from hibiscuspass.core import incarnation
-from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit_row
 from hibiscuspass.core.budget import permit_table
+from hibiscuspass.core.budget import witness_messages
 
 
 class Proposal:
@@ -64,7 +64,7 @@
         self._sent_at_s = self._ctx.now_s
         self._ctx.send(
             self.witness,
-            messages.InstallTable(
+            witness_messages.InstallTable(
                 self._ctx.next_id(),
                 self.witness,
                 self.grant_id,
@@ -77,7 +77,9 @@
         return self._sent_at_s + retry_s
 
     def on_installed(
-        self, sender: incarnation.Incarnation, msg: messages.TableInstalled
+        self,
+        sender: incarnation.Incarnation,
+        msg: witness_messages.TableInstalled,
     ) -> None:
         """Takes in the new witness's confirmation."""
         if msg.operation == self.operation and sender == self.witness:
