Register again when a registration was ended by mistake

Cause: the VM list can drop a VM that still runs; its router kept serving what it had loaded, and nobody asked it for acknowledgements any more.

Ruled out: registering again and keeping the table; changes may have been accepted in between. Looking at each poll: 390 routers would add 195 reads/s, so the look is every 15 rounds, about 30 s.

Before: never noticed.

Conclusion: until the look, such a router can serve an old revision; that is part of what 'certainly gone' means.

--- a/hibiscuspass/core/configuration/table.py
+++ b/hibiscuspass/core/configuration/table.py
@@ -123,6 +123,11 @@
             return Applied.KNOWN
         return self._replace(entry)
 
+    def drop_all(self) -> None:
+        """Drops all workspaces; each is read again when it is used."""
+        for name in tuple(self._loaded):
+            self._drop(name)
+
     def _is_newer(self, entry: entry_lib.ConfigEntry) -> bool:
         return entry.revision > self.revision(entry.name)
 
--- a/hibiscuspass/router/config_presence.py
+++ b/hibiscuspass/router/config_presence.py
@@ -24,6 +24,10 @@
 
 _log = logs.get_logger(__name__)
 
+# Rounds of `maintain` between two looks at the own registration; one read per
+# router and half a minute is little for the key-value service.
+_ROUNDS_PER_CHECK = 15
+
 
 @attrs.frozen
 class PresenceContext:
@@ -54,6 +58,7 @@
     def __init__(self, ctx: PresenceContext) -> None:
         self._ctx = ctx
         self._registered = False
+        self._rounds = 0
         self._sponsors: dict[str, str] = {}
         # Routers that this one must name: registration seen yet or not.
         self._sponsored: dict[str, str] = {}
@@ -117,12 +122,35 @@
             await self._greet_peers()
         return self.is_known
 
-    async def maintain(self) -> None:
-        """Registers this router and sponsored ones that can't do so."""
+    async def maintain(self) -> bool:
+        """Registers this router and sponsored ones that can't do so.
+
+        Returns:
+          False if the registration had been ended, for example because the VM
+          list had dropped a VM that still runs. Changes may have been accepted
+          without this router, so what it has loaded is of no use.
+        """
+        if not await self._check_registration():
+            # Registered again in the next round, when nothing is loaded.
+            return False
         await self.make_known()
         if self._registered:
             for process, address in list(self._sponsored.items()):
                 await self._maintain_sponsored(process, address)
+        return True
+
+    async def _check_registration(self) -> bool:
+        self._rounds += 1
+        if not self._registered or self._rounds % _ROUNDS_PER_CHECK:
+            return True
+        stored = await self._is_stored(keys.member(str(self._ctx.process)))
+        if stored is not False:
+            return True
+        _log.warning("registration has been ended; registering again")
+        # Sponsors of an earlier outage may have stopped naming this router.
+        self._sponsors.clear()
+        self._registered = False
+        return False
 
     async def leave(self) -> None:
         """Ends the registration of a router that serves no more requests.
--- a/hibiscuspass/router/config_runtime.py
+++ b/hibiscuspass/router/config_runtime.py
@@ -226,7 +226,8 @@
 
     async def _maintain_presence(self) -> None:
         while True:
-            await self._presence.maintain()
+            if not await self._presence.maintain():
+                self.table.drop_all()
             self._metrics.registered.set(self._presence.is_registered)
             known = self._presence.is_registered
             await asyncio.sleep(
--- a/tests/test_config_runtime.py
+++ b/tests/test_config_runtime.py
@@ -249,6 +249,25 @@
     _run(scenario)
 
 
+def test_a_router_whose_registration_was_ended_starts_afresh():
+    """The VM list dropped a VM that runs; changes were accepted without it."""
+
+    async def scenario(fleet):
+        router = await fleet.start("a/1")
+        fleet.write("bakery")
+        await router.load("bakery")
+        stored = fleet.data.values[keys.member("a/1")]
+        fleet.data.write(stored.key, stored.revision, None)
+        fleet.stores["a/1"].watch_silent = True
+        await asyncio.sleep(60)
+        assert keys.member("a/1") in fleet.data.values
+        assert router.is_ready()
+        assert router.workspace("bakery") is None
+        assert await router.load("bakery") is not None
+
+    _run(scenario)
+
+
 def test_routers_that_are_certainly_gone_are_not_named():
     async def scenario(fleet):
         await fleet.start("a/1")
