Test an order whose router is killed

Cause: no test with processes covered an order that ran while its router died before the answer.

Ruled out: waiting for the claim to expire; claims have no lease on purpose.

Before: covered by the search on a virtual clock only. After: one run, and three duplicates on the other router are answered in_progress, unknown.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -180,3 +180,28 @@
         costs = (await fleet.bills())[request_id]
         assert len(costs) == 1
         await asyncio.sleep(0.1)
+
+
+async def test_order_of_a_killed_router_is_not_repeated(fleet):
+    """Guards an order whose router died between its run and its answer."""
+    await fleet.start_service("s1")
+    await fleet.fault("s1", lose_replies=1, lost_reply="hang")
+    routers = await asyncio.gather(
+        fleet.start_router("r1"), fleet.start_router("r2")
+    )
+
+    async def order(router: str) -> tuple[int, str]:
+        async with fleet.post(router, _ORDER, {"n": 1}, key="k") as resp:
+            return resp.status, resp.headers["X-Run"]
+
+    async def has_run() -> bool:
+        return len((await fleet.record("s1"))["runs"]) == 1
+
+    first = asyncio.create_task(order("r1"))
+    await fleet.until(has_run)
+    routers[0].kill()
+    with contextlib.suppress(aiohttp.ClientError):
+        await first
+    for _ in range(3):
+        assert await order("r2") == (409, "unknown")
+    assert await has_run()
