--- a/hibiscuspass/core/budget/ask_answers.py
+++ b/hibiscuspass/core/budget/ask_answers.py
@@ -130,3 +130,23 @@
 ) -> permit_row.PermitRow:
     """Returns the row with the backend server of its attempt."""
     return attrs.evolve(row, backend=backend)
+
+
+def granted(
+    row: permit_row.PermitRow,
+    ask_id: int,
+    workspace: str,
+    grant_id: str,
+    epoch: int,
+) -> messages.PermitGranted:
+    """Answers with a permit that the witness has acknowledged."""
+    return messages.PermitGranted(
+        ask_id,
+        workspace,
+        row.request_id,
+        row.attempt_id,
+        grant_id,
+        epoch,
+        row.hold,
+        row.backend,
+    )
--- a/hibiscuspass/core/budget/entry.py
+++ b/hibiscuspass/core/budget/entry.py
@@ -1,88 +1,26 @@
 """Permits of callers that are connected to this router."""
 
-import enum
-
-import attrs
-
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core import run_state
 from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.budget import permit_attempt
+from hibiscuspass.core.budget import permit_use
 
 WAKE_KEY = "\0entry"
 
 # The first routers in rendezvous order; then this router itself is asked.
-_MAX_ASKED_PEERS = 3
+_MAX_ASKED_PEERS = 2
 # A settlement that its holder has not confirmed is checked against the ledger
 # after this many reports.
 _REPORTS_BEFORE_LOOKUP = 2
 
 
-@attrs.define
-class Attempt:
-    """An attempt that waits for a permit.
-
-    Attributes:
-      req: What it asks for.
-      deadline_s: Time at which it gives up.
-      candidates: Routers still to be asked.
-      asked: Router that was asked last.
-      ask_id: Number of the present ask.
-      next_at_s: Time at which the next router is asked.
-      answer: Latest refusal of a holder.
-      redirected: Routers that the attempt was redirected to.
-    """
-
-    req: permit_lib.PermitRequest
-    deadline_s: float
-    candidates: list[incarnation.Incarnation]
-    asked: incarnation.Incarnation | None = None
-    ask_id: int = 0
-    next_at_s: float = 0.0
-    answer: messages.AskRefused | None = None
-    redirected: set[incarnation.Incarnation] = attrs.field(factory=set)
-
-
-class UseState(enum.Enum):
-    """Progress of a permit at its entry router."""
-
-    HELD = "held"
-    SETTLED = "settled"
-
-
-@attrs.define
-class PermitUse:
-    """A permit that was handed to an attempt.
-
-    Attributes:
-      permit: The permit.
-      holder: Latest known holder of its grant.
-      epoch: Epoch of that holder.
-      keyed: Whether the caller sent an idempotency key.
-      state: Progress.
-      backend: Backend server in use, or an empty string.
-      cost: Final cost.
-      kind: How the cost is known.
-      reports: Number of reports sent.
-      next_at_s: Time of the next report.
-    """
-
-    permit: permit_lib.Permit
-    holder: incarnation.Incarnation
-    epoch: int
-    keyed: bool
-    state: UseState = UseState.HELD
-    backend: str = ""
-    cost: int = 0
-    kind: permit_lib.CostKind = permit_lib.CostKind.REPORTED
-    reports: int = 0
-    next_at_s: float = 0.0
-
-
 class EntryRole:
     """Asks for permits, reports their costs and answers status checks.
 
@@ -93,9 +31,9 @@
 
     def __init__(self, ctx: node_context.NodeContext) -> None:
         self._ctx = ctx
-        self.attempts: dict[str, Attempt] = {}
-        self.uses: dict[str, PermitUse] = {}
-        self._unconfirmed: dict[str, PermitUse] = {}
+        self.attempts: dict[str, permit_attempt.Attempt] = {}
+        self.uses: dict[str, permit_use.PermitUse] = {}
+        self._unconfirmed: dict[str, permit_use.PermitUse] = {}
 
     @property
     def settled_everywhere(self) -> bool:
@@ -125,11 +63,12 @@
                 ),
             )
             return
-        order = self._ctx.fleet.order(req.workspace)[:_MAX_ASKED_PEERS]
-        candidates = list(order)
+        order = self._ctx.fleet.order(req.workspace)
+        trusted = [r for r in order if self._ctx.is_trusted(r)]
+        candidates = trusted[:_MAX_ASKED_PEERS]
         if self._ctx.own not in candidates:
             candidates.append(self._ctx.own)
-        attempt = Attempt(req, deadline_s, candidates)
+        attempt = permit_attempt.Attempt(req, deadline_s, candidates)
         self.attempts[req.attempt_id] = attempt
         self._ctx.wake(WAKE_KEY, deadline_s)
         self._ask_next(attempt)
@@ -140,7 +79,11 @@
         if attempt is not None:
             return
         use = self.uses.get(attempt_id)
-        if use is not None and use.state is UseState.HELD and not use.backend:
+        if (
+            use is not None
+            and use.state is permit_use.UseState.HELD
+            and not use.backend
+        ):
             self.settle(use.permit, 0, permit_lib.CostKind.REPORTED)
 
     def mark_used(self, permit: permit_lib.Permit, backend: str) -> None:
@@ -172,9 +115,9 @@
     ) -> None:
         """Reports the final cost until it is durable."""
         use = self.uses.get(permit.attempt_id)
-        if use is None or use.state is UseState.SETTLED:
+        if use is None or use.state is permit_use.UseState.SETTLED:
             return
-        use.state = UseState.SETTLED
+        use.state = permit_use.UseState.SETTLED
         use.cost = max(0, min(cost, permit.hold))
         use.kind = kind
         self._unconfirmed[permit.attempt_id] = use
@@ -204,7 +147,7 @@
             msg.hold,
             msg.backend,
         )
-        self.uses[msg.attempt_id] = PermitUse(
+        self.uses[msg.attempt_id] = permit_use.PermitUse(
             permit, sender, msg.epoch, attempt.req.keyed
         )
         self._decide(msg.attempt_id, permit)
@@ -237,7 +180,7 @@
         elif sender == attempt.asked and msg.ask_id == attempt.ask_id:
             self._ask_next(attempt)
 
-    def on_send_failed(self, msg: messages.Request) -> None:
+    def on_send_failed(self, msg: message.Request) -> None:
         """Asks the next router at once if the last one can't be reached."""
         if isinstance(msg, messages.Ask):
             attempt = self.attempts.get(msg.attempt_id)
@@ -251,7 +194,7 @@
             if (
                 use is not None
                 and use.permit.grant_id == msg.grant_id
-                and use.state is UseState.SETTLED
+                and use.state is permit_use.UseState.SETTLED
             ):
                 self._discard(attempt_id)
 
@@ -287,6 +230,8 @@
             if self._ctx.now_s >= attempt.deadline_s:
                 self._give_up(attempt)
             elif self._ctx.now_s >= attempt.next_at_s:
+                if attempt.asked is not None:
+                    self._ctx.distrust(attempt.asked)
                 self._ask_next(attempt)
             else:
                 self._ctx.wake(
@@ -298,7 +243,7 @@
             else:
                 self._ctx.wake(WAKE_KEY, use.next_at_s)
 
-    def _ask_next(self, attempt: Attempt) -> None:
+    def _ask_next(self, attempt: permit_attempt.Attempt) -> None:
         if not attempt.candidates:
             self._give_up(attempt)
             return
@@ -323,7 +268,7 @@
             ),
         )
 
-    def _give_up(self, attempt: Attempt) -> None:
+    def _give_up(self, attempt: permit_attempt.Attempt) -> None:
         del self.attempts[attempt.req.attempt_id]
         answer = attempt.answer
         if answer is not None:
@@ -361,7 +306,7 @@
             ),
         )
 
-    def _report(self, use: PermitUse) -> None:
+    def _report(self, use: permit_use.PermitUse) -> None:
         use.reports += 1
         retry_s = self._ctx.timing.report_retry_s
         use.next_at_s = self._ctx.now_s + retry_s
@@ -402,7 +347,7 @@
             use.holder, use.epoch = sender, msg.epoch
         return messages.AttemptStatus(
             attempt_id,
-            settled=use.state is UseState.SETTLED,
+            settled=use.state is permit_use.UseState.SETTLED,
             backend=use.backend,
             cost=use.cost,
             kind=use.kind,
--- a/hibiscuspass/core/budget/events.py
+++ b/hibiscuspass/core/budget/events.py
@@ -5,7 +5,7 @@
 from hibiscuspass.backends import kv_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import refusal
-from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import permit as permit_lib
 from hibiscuspass.core.membership import fleet_view
 
@@ -47,7 +47,7 @@
     """A message of a peer arrived."""
 
     sender: incarnation.Incarnation
-    msg: messages.Message
+    msg: message.Message
 
 
 @attrs.frozen
@@ -55,7 +55,7 @@
     """A request certainly did not reach its recipient."""
 
     recipient: incarnation.Incarnation
-    msg: messages.Request
+    msg: message.Request
 
 
 @attrs.frozen
--- a/hibiscuspass/core/budget/witness.py
+++ b/hibiscuspass/core/budget/witness.py
@@ -3,9 +3,9 @@
 import attrs
 
 from hibiscuspass.core import incarnation
-from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import permit_table
+from hibiscuspass.core.budget import witness_messages
 
 
 @attrs.define
@@ -46,13 +46,16 @@
 
     def __init__(self, ctx: node_context.NodeContext) -> None:
         self._ctx = ctx
+        self._refused: set[incarnation.Incarnation] = set()
         self.tables: dict[tuple[str, str], WitnessTable] = {}
 
     def on_append(
-        self, sender: incarnation.Incarnation, msg: messages.AppendRows
+        self, sender: incarnation.Incarnation, msg: witness_messages.AppendRows
     ) -> None:
         """Stores rows and acknowledges them unless the epoch is sealed."""
-        known = self._find(msg.grant_id, msg.operation, msg.workspace)
+        known = None
+        if sender not in self._refused:
+            known = self._find(msg.grant_id, msg.operation, msg.workspace)
         sealed = known is None or self._refuses(known)
         if known is not None and not sealed:
             known.holder = sender
@@ -61,7 +64,7 @@
                 known.sequence = msg.sequence
         self._ctx.send(
             sender,
-            messages.RowsAppended(
+            witness_messages.RowsAppended(
                 msg.ask_id,
                 msg.grant_id,
                 msg.operation,
@@ -72,9 +75,13 @@
         )
 
     def on_install(
-        self, sender: incarnation.Incarnation, msg: messages.InstallTable
+        self,
+        sender: incarnation.Incarnation,
+        msg: witness_messages.InstallTable,
     ) -> None:
         """Stores the table of an epoch that may be about to begin."""
+        if sender in self._refused:
+            return
         key = (msg.grant_id, msg.operation)
         if key not in self.tables:
             self.tables[key] = WitnessTable(
@@ -85,13 +92,13 @@
             )
         self._ctx.send(
             sender,
-            messages.TableInstalled(
+            witness_messages.TableInstalled(
                 msg.ask_id, msg.grant_id, msg.operation, msg.workspace
             ),
         )
 
     def on_seal(
-        self, sender: incarnation.Incarnation, msg: messages.SealEpoch
+        self, sender: incarnation.Incarnation, msg: witness_messages.SealEpoch
     ) -> None:
         """Seals an epoch and returns its table."""
         table = self.seal(
@@ -99,7 +106,7 @@
         )
         self._ctx.send(
             sender,
-            messages.EpochSealed(
+            witness_messages.EpochSealed(
                 msg.ask_id, msg.grant_id, msg.operation, msg.workspace, table
             ),
         )
@@ -120,7 +127,7 @@
         return known.table.snapshot()
 
     def on_forget(
-        self, sender: incarnation.Incarnation, msg: messages.ForgetTable
+        self, sender: incarnation.Incarnation, msg: witness_messages.ForgetTable
     ) -> None:
         """Takes in that an epoch is over."""
         known = self.tables.get((msg.grant_id, msg.operation))
@@ -140,7 +147,11 @@
         self.purge()
 
     def purge(self) -> None:
-        """Discards ended epochs whose holder is gone."""
+        """Discards ended epochs whose holder is gone.
+
+        A dropped router may return with its old state, so nothing is accepted
+        from it any more; it finds another witness.
+        """
         over = [
             key
             for key, known in self.tables.items()
@@ -149,7 +160,9 @@
             and self._ctx.fleet.is_gone(known.holder)
         ]
         for key in over:
-            del self.tables[key]
+            holder = self.tables.pop(key).holder
+            assert holder is not None
+            self._refused.add(holder)
 
     def suspects(
         self,
--- a/hibiscuspass/router/budget_runtime.py
+++ b/hibiscuspass/router/budget_runtime.py
@@ -16,14 +16,17 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.budget import actions
 from hibiscuspass.core.budget import events
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node as node_lib
 from hibiscuspass.core.budget import permit as permit_lib
 from hibiscuspass.core.budget import timing as timing_lib
+from hibiscuspass.peers import codec
 from hibiscuspass.peers import transport as transport_lib
 from hibiscuspass.router import budget_service
 from hibiscuspass.router import config_source
 from hibiscuspass.router import fleet_source
+from hibiscuspass.settings import budgets
 from hibiscuspass.telemetry import recorder as recorder_lib
 
 _logger = structlog.get_logger(__name__)
@@ -36,6 +39,9 @@
 # Sender of reports that this process asks itself for.
 _LOCAL = incarnation.Incarnation("local", "report")
 
+for _type in messages.MESSAGE_TYPES:
+    codec.DEFAULT.add(_type)
+
 _Key = tuple[incarnation.Incarnation, int]
 
 
@@ -58,7 +64,7 @@
         self._fleet = fleet
         self._recorder = recorder
         self._decisions: dict[str, asyncio.Future[actions.Outcome]] = {}
-        self._replies: dict[_Key, list[asyncio.Future[messages.Message]]] = {}
+        self._replies: dict[_Key, list[asyncio.Future[message.Message]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._drained = asyncio.Event()
         self._subscription: rx_abc.DisposableBase | None = None
@@ -202,16 +208,16 @@
             _logger.error("budget task failed", exc_info=task.exception())
 
     def _send(self, action: actions.Send) -> None:
-        if isinstance(action.msg, messages.Reply):
+        if isinstance(action.msg, message.Reply):
             key = (action.to, action.msg.ask_id)
             for fut in self._replies.pop(key, ()):
                 if not fut.done():
                     fut.set_result(action.msg)
-        elif isinstance(action.msg, messages.Request):
+        elif isinstance(action.msg, message.Request):
             self._spawn(self._request(action.to, action.msg))
 
     async def _request(
-        self, to: incarnation.Incarnation, msg: messages.Request
+        self, to: incarnation.Incarnation, msg: message.Request
     ) -> None:
         address = self._node.ctx.fleet.address(to)
         if address is None:
@@ -228,12 +234,12 @@
 
     async def _serve(
         self, sender: incarnation.Incarnation, msg: Any
-    ) -> messages.Message:
+    ) -> message.Message:
         """Handles a peer's request; the reply may follow a later event."""
-        if isinstance(msg, messages.Request) and msg.to != self._own:
+        if isinstance(msg, message.Request) and msg.to != self._own:
             # Meant for an earlier incarnation, whose state is lost.
             return messages.Done(msg.ask_id)
-        fut: asyncio.Future[messages.Message]
+        fut: asyncio.Future[message.Message]
         fut = asyncio.get_running_loop().create_future()
         waiting = self._replies.setdefault((sender, msg.ask_id), [])
         waiting.append(fut)
@@ -296,3 +302,16 @@
     return BudgetRuntime(
         node, kv=kv, transport=transport, fleet=fleet, recorder=recorder
     )
+
+
+def make_timing(settings: budgets.BudgetSettings) -> timing_lib.BudgetTiming:
+    """Returns the delays of a node from its settings."""
+    return timing_lib.BudgetTiming(
+        flush_s=settings.flush_interval_s,
+        ask_timeout_s=settings.permit_timeout_s,
+        # The answer and a recall must arrive while the entry router waits.
+        ask_expiry_s=settings.permit_timeout_s * 0.9,
+        recall_wait_s=settings.permit_timeout_s / 4,
+        orphan_window_s=settings.orphan_window_s,
+        dedup_retention_s=settings.dedup_retention_s,
+    )
--- /dev/null
+++ b/tests/budget_truth.py
@@ -0,0 +1,83 @@
+"""What requests in a simulated fleet really cost."""
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import permit as permit_lib
+from tests import budget_parts
+
+
+class Truth:
+    """Runs and the spend that follows from them."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, budget_parts.Run] = {}
+        self.orphans: dict[tuple[str, str], int] = {}
+        # Request of each attempt.
+        self.requests: dict[str, str] = {}
+        # Attempts that were refused as not run, with the grants under which
+        # another attempt of the same request may have run.
+        self.untrue_refusals: list[tuple[str, set[str]]] = []
+
+    def note_outcome(
+        self,
+        action: actions.Decide,
+        entry: incarnation.Incarnation,
+        now_s: float,
+    ) -> None:
+        """Records a new run, or a refusal that is not true."""
+        outcome = action.outcome
+        if isinstance(outcome, permit_lib.Permit):
+            run = budget_parts.Run(outcome, entry, now_s)
+            self.runs[action.attempt_id] = run
+        elif (
+            isinstance(outcome, refusal.Refusal)
+            and outcome.run is run_state.RunState.NO
+        ):
+            request_id = self.requests[action.attempt_id]
+            grants = {
+                run.permit.grant_id
+                for run in self.runs.values()
+                if run.permit.request_id == request_id and run.cost != 0
+            }
+            if grants:
+                self.untrue_refusals.append((action.attempt_id, grants))
+
+    def _costs(
+        self, at_s: float = float("inf")
+    ) -> dict[tuple[str, str], tuple[int, int]]:
+        """Returns for each hold its cost and what a report may show.
+
+        A retry that took over the permit of a lost router settles the cost of
+        the whole request. Without one, such a request may be billed at its
+        full hold.
+        """
+        groups: dict[tuple[str, str], list[budget_parts.Run]] = {}
+        for run in self.runs.values():
+            if run.started_at_s <= at_s:
+                key = (run.permit.request_id, run.permit.grant_id)
+                groups.setdefault(key, []).append(run)
+        return {key: self._cost(runs) for key, runs in groups.items()}
+
+    def _cost(self, runs: list[budget_parts.Run]) -> tuple[int, int]:
+        settled = max((r.cost or 0 for r in runs), default=0)
+        unknown = [r.permit.hold for r in runs if r.cost is None]
+        cost = settled or max(unknown, default=0)
+        lost = [r.permit.hold for r in runs if r.entry_lost]
+        return cost, max([cost, *lost])
+
+    def spent(self) -> int:
+        """Returns the settled cost plus the holds of everything running."""
+        return sum(cost for cost, _ in self._costs().values())
+
+    def spent_at(self, at_s: float) -> int:
+        """Returns the spend of the runs that had started at a time."""
+        return sum(cost for cost, _ in self._costs(at_s).values())
+
+    def reported_bound(self) -> int:
+        """Returns the most that a report may call certainly spent."""
+        costs = {k: shown for k, (_, shown) in self._costs().items()}
+        for key, hold in self.orphans.items():
+            costs[key] = max(costs.get(key, 0), hold)
+        return sum(costs.values())
