Keep cache hits when an engine is at its concurrency limit

After: a full engine is replaced by engines with about the same hits or with at most half the limit in flight.

--- a/hibiscuspass/core/routing/prefix_cost.py
+++ b/hibiscuspass/core/routing/prefix_cost.py
@@ -22,6 +22,8 @@
 # Own requests in flight to an engine that returns from an ejection, at full
 # weight; the limit rises with the weight.
 _RETURNING_IN_FLIGHT = 10
+# Share of the prompt by which cache hits may differ and count as equal.
+_EQUAL_HITS_SHARE = 0.1
 
 
 @attrs.frozen
@@ -95,26 +97,26 @@
                 f"{query.model!r} are ejected",
                 retry_after_s=1.0,
             )
-        candidates = [
-            c
-            for c in self._candidates(healthy, query, now_s)
-            if self._has_room(c)
-        ]
-        if not candidates:
-            return refusal.Refusal(
-                reason_lib.Reason.OVERLOADED,
-                f"all {len(healthy)} engines with model {query.model!r} are "
-                "at their concurrency or queue limit",
-                retry_after_s=1.0,
-            )
+        candidates = self._candidates(healthy, query, now_s)
         chosen = self._draw(candidates)
+        if not self._has_room(chosen):
+            others = self._others(chosen, candidates, query)
+            if not others:
+                return refusal.Refusal(
+                    reason_lib.Reason.OVERLOADED,
+                    f"all {len(healthy)} engines with model {query.model!r} "
+                    "are busy and the best one is at its limit",
+                    retry_after_s=1.0,
+                )
+            chosen = self._draw(others)
         deadline_s = query.first_token_deadline_s
-        if not chosen.meets(deadline_s, self._cfg.queue_share):
+        if not self._in_time(chosen, query):
             others = [
                 c
                 for c in candidates
-                if c.meets(deadline_s, self._cfg.queue_share)
-                and c.requests <= self._cfg.spill_requests
+                if c.requests <= self._cfg.spill_requests
+                and self._has_room(c)
+                and self._in_time(c, query)
             ]
             if not others:
                 fastest_s = min(c.expected_s for c in candidates)
@@ -287,6 +289,31 @@
         )
         return _Candidate(record, cached, own_s, queue_s, requests, score_s)
 
+    def _others(
+        self,
+        best: _Candidate,
+        candidates: Sequence[_Candidate],
+        query: policy.RouteQuery,
+    ) -> list[_Candidate]:
+        """Returns the engines that may stand in for a full one.
+
+        They save about as much prompt work, or are half empty. Otherwise an
+        overload would add work to itself.
+        """
+        least = best.cached_tokens - _EQUAL_HITS_SHARE * query.prompt_tokens
+        half = self._cfg.max_in_flight_per_engine / 2
+        return [
+            c
+            for c in candidates
+            if self._has_room(c)
+            and (c.cached_tokens >= least or c.requests <= half)
+        ]
+
+    def _in_time(self, candidate: _Candidate, query: policy.RouteQuery) -> bool:
+        return candidate.meets(
+            query.first_token_deadline_s, self._cfg.queue_share
+        )
+
     def _has_room(self, candidate: _Candidate) -> bool:
         return (
             candidate.requests < self._cfg.max_in_flight_per_engine
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -279,3 +279,23 @@
     for _ in range(300):
         repeats.observe((1, 2))
     assert repeats.share > 0.99
+
+
+@pytest.mark.parametrize(
+    ("others_running", "refused"), [(20, False), (40, True)]
+)
+def test_full_engine_is_replaced_only_by_half_empty_ones(
+    others_running, refused
+):
+    """Guards against an overload that gives up all cache hits at the limit."""
+    made = _policy(config.RoutingConfig(max_in_flight_per_engine=64))
+    blocks = tuple(range(200))
+    made.on_cache_event(engine.CacheEvent("e0", 0, stored=blocks), 0.0)
+    for name in _ENGINES:
+        made.on_load_report(_report(name, running=others_running), 0.0)
+    made.on_load_report(_report("e0", running=64), 0.0)
+    outcome = made.choose(_query(prompt_blocks=blocks, prompt_tokens=3200), 0.0)
+    if refused:
+        assertions.assert_refused(outcome, reason_lib.Reason.OVERLOADED)
+    else:
+        assert outcome.backend != "e0"
