--- a/hibiscuspass/core/budget/actions.py
+++ b/hibiscuspass/core/budget/actions.py
@@ -6,7 +6,7 @@
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import refusal
-from hibiscuspass.core.budget import messages
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import permit as permit_lib
 
 Outcome = permit_lib.Permit | permit_lib.Attach | refusal.Refusal
@@ -17,7 +17,7 @@
     """Sends a request, or the reply with the `ask_id` of a request."""
 
     to: incarnation.Incarnation
-    msg: messages.Message
+    msg: message.Message
 
 
 @attrs.frozen
--- a/hibiscuspass/core/budget/billing_batch.py
+++ b/hibiscuspass/core/budget/billing_batch.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.budget import permit_row
 
 
 @attrs.frozen
@@ -68,3 +69,15 @@
 def decode(value: bytes) -> BillingBatch:
     """Reads the stored form."""
     return _decoder.decode(value)
+
+
+def record_of(row: permit_row.PermitRow, grant_id: str) -> BillingRecord:
+    """Returns the record of a settled permit."""
+    return BillingRecord(
+        row.request_id,
+        grant_id,
+        row.cost,
+        row.kind,
+        str(row.entry),
+        row.model,
+    )
--- a/hibiscuspass/core/budget/node.py
+++ b/hibiscuspass/core/budget/node.py
@@ -9,11 +9,13 @@
 from hibiscuspass.core.budget import entry
 from hibiscuspass.core.budget import events
 from hibiscuspass.core.budget import ledger_port
+from hibiscuspass.core.budget import message
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
 from hibiscuspass.core.budget import reporter
 from hibiscuspass.core.budget import timing as timing_lib
 from hibiscuspass.core.budget import witness
+from hibiscuspass.core.budget import witness_messages
 from hibiscuspass.core.budget import workspace_holder
 
 _Sender = incarnation.Incarnation
@@ -159,7 +161,7 @@
         assert table.holder is not None
         self.ctx.send(
             table.holder,
-            messages.WitnessLeaving(
+            witness_messages.WitnessLeaving(
                 self.ctx.next_id(),
                 table.holder,
                 table.workspace,
@@ -266,8 +268,8 @@
 
     # Messages.
 
-    def _dispatch(self, sender: _Sender, msg: messages.Message) -> None:
-        if isinstance(msg, messages.Request) and msg.to != self.ctx.own:
+    def _dispatch(self, sender: _Sender, msg: message.Message) -> None:
+        if isinstance(msg, message.Request) and msg.to != self.ctx.own:
             return
         handler = self._handlers.get(type(msg))
         if handler is not None:
@@ -281,9 +283,9 @@
             messages.PermitUsed: own.on_used,
             messages.SettlePermit: own.on_settle,
             messages.StatusAnswer: own.on_statuses,
-            messages.RowsAppended: own.on_appended,
-            messages.TableInstalled: own.on_installed,
-            messages.EpochSealed: own.on_sealed,
+            witness_messages.RowsAppended: own.on_appended,
+            witness_messages.TableInstalled: own.on_installed,
+            witness_messages.EpochSealed: own.on_sealed,
             messages.RecallBudget: own.on_recall,
         }
         handlers = {
@@ -297,11 +299,11 @@
             messages.GrantMoved: lambda _, m: self.entry.on_moved(m),
             messages.SettlementsDurable: self._on_durable,
             messages.StatusCheck: self.entry.on_status_check,
-            messages.AppendRows: self.witness.on_append,
-            messages.InstallTable: self.witness.on_install,
-            messages.SealEpoch: self.witness.on_seal,
-            messages.ForgetTable: self._on_forget,
-            messages.WitnessLeaving: self._on_witness_leaving,
+            witness_messages.AppendRows: self.witness.on_append,
+            witness_messages.InstallTable: self.witness.on_install,
+            witness_messages.SealEpoch: self.witness.on_seal,
+            witness_messages.ForgetTable: self._on_forget,
+            witness_messages.WitnessLeaving: self._on_witness_leaving,
             messages.BudgetRecalled: self._on_recalled,
             messages.HandOver: self._on_hand_over,
             messages.GrantQuery: self._on_grant_query,
@@ -316,7 +318,7 @@
 
         def handle(sender: _Sender, msg: Any) -> None:
             # A late reply needs no holder object of its own.
-            if isinstance(msg, messages.Reply) and (
+            if isinstance(msg, message.Reply) and (
                 msg.workspace not in self.holders  # type: ignore[attr-defined]
             ):
                 return
@@ -325,7 +327,7 @@
 
         return handle
 
-    def _done(self, sender: _Sender, msg: messages.Message) -> None:
+    def _done(self, sender: _Sender, msg: message.Message) -> None:
         self.ctx.send(sender, messages.Done(msg.ask_id))
 
     def _on_durable(
@@ -334,12 +336,14 @@
         self.entry.on_durable(msg)
         self._done(sender, msg)
 
-    def _on_forget(self, sender: _Sender, msg: messages.ForgetTable) -> None:
+    def _on_forget(
+        self, sender: _Sender, msg: witness_messages.ForgetTable
+    ) -> None:
         self.witness.on_forget(sender, msg)
         self._done(sender, msg)
 
     def _on_witness_leaving(
-        self, sender: _Sender, msg: messages.WitnessLeaving
+        self, sender: _Sender, msg: witness_messages.WitnessLeaving
     ) -> None:
         self._holder(msg.workspace).on_witness_leaving(msg)
         self._done(sender, msg)
--- a/hibiscuspass/core/budget/workspace_state.py
+++ b/hibiscuspass/core/budget/workspace_state.py
@@ -51,6 +51,14 @@
         """Whether a held grant is about to get another witness."""
         return any(g.proposal is not None for g in self.grants.values())
 
+    @property
+    def ledger_is_short(self) -> bool:
+        """Whether less is free in the ledger than is unused here."""
+        led = self.port.ledger
+        return led is not None and led.free < sum(
+            g.room for g in self.grants.values()
+        )
+
     def primary(self) -> held_grant.HeldGrant | None:
         """Returns the primary grant if it is held here."""
         led = self.port.ledger
@@ -58,7 +66,8 @@
 
     def is_primary(self, held: held_grant.HeldGrant) -> bool:
         """Whether a grant is the primary one."""
-        return self.primary() is held
+        led = self.port.ledger
+        return led is not None and led.primary == held.id
 
     def current_want(self) -> int:
         """Returns the want, which is withdrawn after a while."""
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -1,10 +1,10 @@
-"""A fleet of budget nodes in virtual time, with faults and the true spend.
+"""A fleet of budget nodes in virtual time, with faults.
 
-Messages and key-value calls wait in bags until the test decides what becomes
-of them. In automatic mode they are delivered after fixed delays instead.
+Messages and key-value calls wait in bags until the test decides on them. In
+automatic mode they are delivered after fixed delays instead.
 """
 
-from collections import Counter
+import collections
 from collections.abc import Callable
 import heapq
 import itertools
@@ -13,114 +13,28 @@
 
 import attrs
 
-from hibiscuspass.backends import kv_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core.budget import actions
-from hibiscuspass.core.budget import billing_batch
 from hibiscuspass.core.budget import events
-from hibiscuspass.core.budget import ledger as ledger_lib
-from hibiscuspass.core.budget import ledger_codec
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node as node_lib
 from hibiscuspass.core.budget import permit as permit_lib
 from hibiscuspass.core.budget import timing as timing_lib
 from hibiscuspass.core.configuration import workspace as workspace_lib
-from hibiscuspass.core.membership import fleet_view
+from tests import budget_books
+from tests import budget_parts
+from tests import budget_views
 
-WORKSPACE = "w"
+WORKSPACE = budget_books.WORKSPACE
 MESSAGE_DELAY_S = 0.001
 KV_DELAY_S = 0.003
 
-_State = fleet_view.MemberState
 _Reason = reason_lib.Reason
 
 
-class FakeKv:
-    """Keys with revisions; the two switches break its promises."""
-
-    def __init__(self) -> None:
-        self.data: dict[str, kv_store.KeyValue] = {}
-        self.revision = 0
-        self.checks_revision = True
-        self.create_only = True
-        self.writes = 0
-        self.reads = 0
-
-    def read(self, key: str) -> kv_store.ReadResult:
-        self.reads += 1
-        found = self.data.get(key)
-        return kv_store.ReadResult((found,) if found else (), self.revision)
-
-    def cas(self, key: str, expected: int, value: bytes) -> kv_store.CasResult:
-        self.writes += 1
-        found = self.data.get(key)
-        present = found.revision if found else 0
-        is_bill = key.startswith("bills/")
-        checked = self.create_only if is_bill else self.checks_revision
-        if checked and present != expected:
-            return kv_store.CasResult(False, 0, found)
-        self.revision += 1
-        self.data[key] = kv_store.KeyValue(key, value, self.revision)
-        return kv_store.CasResult(True, self.revision)
-
-
-@attrs.define
-class KvCall:
-    """A call on its way to the key-value service."""
-
-    router: incarnation.Incarnation
-    action: actions.KvRead | actions.KvCas
-    # The caller has given up on it; it may still take effect.
-    late: bool = False
-
-
-@attrs.define
-class Letter:
-    """A message on its way."""
-
-    sender: incarnation.Incarnation
-    to: incarnation.Incarnation
-    msg: messages.Message
-
-
-@attrs.define
-class Run:
-    """A request that runs, or ran, under a permit."""
-
-    permit: permit_lib.Permit
-    entry: incarnation.Incarnation
-    started_at_s: float
-    cost: int | None = None
-    entry_lost: bool = False
-
-
-@attrs.define
-class Router:
-    """One router process."""
-
-    node: node_lib.BudgetNode
-    domain: str
-    frozen: bool = False
-    kv_cut: bool = False
-    tick_at_s: float = float("inf")
-
-
-def default_timing() -> timing_lib.BudgetTiming:
-    """Returns delays that make the slow mechanisms visible in short runs."""
-    return timing_lib.BudgetTiming(
-        flush_s=0.5,
-        orphan_window_s=10.0,
-        status_s=2.0,
-        takeover_s=1.0,
-        idle_s=15.0,
-        record_s=5.0,
-        report_retry_s=1.0,
-    )
-
-
-class World:
+class World(budget_views.Views):
     """Routers, the key-value service, the network, and the truth."""
 
     def __init__(
@@ -134,31 +48,23 @@
         node_type: type[node_lib.BudgetNode] = node_lib.BudgetNode,
         auto: bool = False,
     ) -> None:
-        self.kv = FakeKv()
-        self.timing = timing or default_timing()
+        super().__init__()
+        self.timing = timing or budget_parts.default_timing()
         self.config = config or workspace_lib.Workspace(WORKSPACE)
         self.node_type = node_type
         self.auto = auto
         self.now_s = 1.0
         self.domains = domains
-        self.routers: dict[incarnation.Incarnation, Router] = {}
-        self.gone: list[tuple[incarnation.Incarnation, str]] = []
-        self.noticed: set[incarnation.Incarnation] = set()
-        self.groups: dict[str, int] = {}
         self.kv_up = True
-        self.bag: list[Letter] = []
-        self.calls: list[KvCall] = []
-        self.late: list[KvCall] = []
-        self.runs: dict[str, Run] = {}
-        self.outcomes: dict[str, actions.Outcome] = {}
+        self.bag: list[budget_parts.Letter] = []
+        self.calls: list[budget_parts.KvCall] = []
+        self.late: list[budget_parts.KvCall] = []
         self.on_decide: Callable[[str, actions.Outcome], None] | None = None
         self.reports: list[messages.Report] = []
-        self.events: Counter[str] = Counter()
-        self.orphans: dict[tuple[str, str], int] = {}
+        self.events: collections.Counter[str] = collections.Counter()
         self.stopped = 0
         self.drained: set[incarnation.Incarnation] = set()
-        self.charged: set[str] = set()
-        self.sent: Counter[str] = Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._ids = itertools.count(1)
@@ -172,60 +78,19 @@
     def _add(self, name: str, domain: str) -> incarnation.Incarnation:
         own = incarnation.Incarnation(name, f"s{next(self._ids)}")
         node = self.node_type(own, self._policy, self.timing)
-        self.routers[own] = Router(node, domain)
+        self.routers[own] = budget_parts.Router(node, domain)
         self.groups.setdefault(name, 0)
         return own
 
     def _policy(self, name: str) -> workspace_lib.Workspace | None:
         return self.config if name == WORKSPACE else None
 
-    def names(self) -> list[incarnation.Incarnation]:
-        """Returns the running routers."""
-        return list(self.routers)
-
     def refresh_views(self) -> None:
         """Lets every running router see the fleet as it is."""
         for own, router in self.routers.items():
             if not router.frozen:
                 self.handle(own, events.FleetChanged(self._view(own)))
 
-    def _view(self, own: incarnation.Incarnation) -> fleet_view.FleetView:
-        members = [
-            self._member(r, x.domain, self._seen_state(own, r))
-            for r, x in self.routers.items()
-        ]
-        members += [
-            self._member(
-                r,
-                domain,
-                _State.GONE if r in self.noticed else _State.SUSPECTED,
-            )
-            for r, domain in self.gone
-        ]
-        return fleet_view.FleetView(tuple(members))
-
-    def _member(
-        self, r: incarnation.Incarnation, domain: str, state: _State
-    ) -> fleet_view.RouterMember:
-        return fleet_view.RouterMember(r, r.name, domain, "region", state)
-
-    def _seen_state(
-        self, own: incarnation.Incarnation, other: incarnation.Incarnation
-    ) -> _State:
-        if own == other:
-            return _State.LIVE
-        router = self.routers[other]
-        if router.frozen or not self._connected(own, other):
-            return _State.SUSPECTED
-        if router.node.ctx.draining:
-            return _State.LEAVING
-        return _State.LIVE
-
-    def _connected(
-        self, a: incarnation.Incarnation, b: incarnation.Incarnation
-    ) -> bool:
-        return self.groups.get(a.name, 0) == self.groups.get(b.name, 0)
-
     def crash(self, router: incarnation.Incarnation) -> None:
         """Ends a process; everything it knew is lost."""
         gone = self.routers.pop(router)
@@ -263,26 +128,17 @@
                 self.crash(router)
                 self.restart(router)
 
-    def freeze(self, router: incarnation.Incarnation) -> None:
-        """Stops a process without ending it."""
-        self.routers[router].frozen = True
-
     def thaw(self, router: incarnation.Incarnation) -> None:
         """Lets a stopped process go on with its old state."""
         self.routers[router].frozen = False
         if self.auto:
             self._schedule_tick(router)
 
-    def partition(self, groups: dict[str, int]) -> None:
-        """Cuts routers with different group numbers off from each other."""
-        self.groups.update(groups)
-
     # Events and actions.
 
     def handle(self, own: incarnation.Incarnation, event: events.Event) -> None:
         """Gives an event to a router and takes its actions."""
-        router = self.routers[own]
-        for action in router.node.handle(event, self.now_s):
+        for action in self.routers[own].node.handle(event, self.now_s):
             self._take(own, action)
         if self.auto:
             self._schedule_tick(own)
@@ -306,9 +162,9 @@
         self, own: incarnation.Incarnation, action: actions.Action
     ) -> None:
         if isinstance(action, actions.Send):
-            self._send(Letter(own, action.to, action.msg))
+            self._send(budget_parts.Letter(own, action.to, action.msg))
         elif isinstance(action, actions.KvRead | actions.KvCas):
-            self._call(KvCall(own, action))
+            self._call(budget_parts.KvCall(own, action))
         elif isinstance(action, actions.Decide):
             self._decide(own, action)
         elif isinstance(action, actions.Emit):
@@ -319,7 +175,7 @@
         elif isinstance(action, actions.Drained):
             self.drained.add(own)
 
-    def _send(self, letter: Letter) -> None:
+    def _send(self, letter: budget_parts.Letter) -> None:
         self.sent[type(letter.msg).__name__] += 1
         if isinstance(letter.msg, messages.Report):
             self._take_report(letter.msg)
@@ -328,7 +184,7 @@
         else:
             self.bag.append(letter)
 
-    def _call(self, call: KvCall) -> None:
+    def _call(self, call: budget_parts.KvCall) -> None:
         if self.auto:
             self.at(
                 self.now_s + KV_DELAY_S,
@@ -337,7 +193,7 @@
         else:
             self.calls.append(call)
 
-    def deliver(self, letter: Letter) -> bool:
+    def deliver(self, letter: budget_parts.Letter) -> bool:
         """Delivers a message if its recipient can be reached."""
         router = self.routers.get(letter.to)
         if router is None or not self._connected(letter.sender, letter.to):
@@ -351,7 +207,9 @@
         self.handle(letter.to, events.Received(letter.sender, letter.msg))
         return True
 
-    def answer(self, call: KvCall, *, reply: bool, apply: bool) -> None:
+    def answer(
+        self, call: budget_parts.KvCall, *, reply: bool, apply: bool
+    ) -> None:
         """Decides what becomes of a key-value call."""
         router = self.routers.get(call.router)
         if router is not None and router.frozen and self.auto:
@@ -361,11 +219,9 @@
             )
             return
         up = self.kv_up and not (router and router.kv_cut)
-        result: Any = None
+        result = self._apply(call) if up and apply else None
         if not up:
             result = refusal.Refusal(_Reason.UNAVAILABLE)
-        elif apply:
-            result = self._apply(call)
         if up and not (reply and apply):
             result = refusal.Refusal(_Reason.TIMEOUT)
             if not apply:
@@ -379,7 +235,7 @@
             done = events.KvCasDone(call.action.token, result)
         self.handle(call.router, done)
 
-    def _apply(self, call: KvCall) -> Any:
+    def _apply(self, call: budget_parts.KvCall) -> Any:
         if isinstance(call.action, actions.KvRead):
             return self.kv.read(call.action.key)
         return self.kv.cas(
@@ -410,6 +266,7 @@
         req = permit_lib.PermitRequest(
             request_id, attempt_id, WORKSPACE, worst_case, bool(key), "m"
         )
+        self.requests[attempt_id] = request_id
         self.handle(own, events.Acquire(req, self.now_s + timeout_s))
         return attempt_id
 
@@ -417,8 +274,7 @@
         self, own: incarnation.Incarnation, action: actions.Decide
     ) -> None:
         self.outcomes[action.attempt_id] = action.outcome
-        if isinstance(action.outcome, permit_lib.Permit):
-            self.runs[action.attempt_id] = Run(action.outcome, own, self.now_s)
+        self.note_outcome(action, own, self.now_s)
         if self.on_decide is not None:
             self.on_decide(action.attempt_id, action.outcome)
 
@@ -446,69 +302,6 @@
         run = self.runs[attempt_id]
         self.handle(run.entry, events.MarkUsed(run.permit, "b"))
 
-    # The ledger.
-
-    def ledger(self) -> ledger_lib.Ledger:
-        """Returns the present ledger."""
-        found = self.kv.data.get(ledger_codec.key(WORKSPACE))
-        if found is None:
-            return ledger_lib.Ledger(WORKSPACE)
-        return ledger_codec.decode(found.value)
-
-    def _store(self, led: ledger_lib.Ledger) -> None:
-        key = ledger_codec.key(WORKSPACE)
-        found = self.kv.data.get(key)
-        self.kv.cas(
-            key, found.revision if found else 0, ledger_codec.encode(led)
-        )
-
-    def top_up(self, top_up_id: str, amount: int) -> None:
-        """Adds prepaid units as an operator does."""
-        led = ledger_lib.top_up(self.ledger(), top_up_id, amount)
-        assert isinstance(led, ledger_lib.Ledger)
-        self._store(led)
-
-    def batches(self) -> list[tuple[str, billing_batch.BillingBatch]]:
-        """Returns all billing batches with their keys."""
-        return [
-            (k, billing_batch.decode(v.value))
-            for k, v in sorted(self.kv.data.items())
-            if k.startswith("bills/")
-        ]
-
-    def records(self) -> list[billing_batch.BillingRecord]:
-        """Returns all billing records."""
-        return [r for _, b in self.batches() for r in b.records]
-
-    def charge_in_doubt(self) -> None:
-        """Charges the rest of grants whose holder and witness are gone."""
-        for g in list(self.ledger().grants.values()):
-            if g.holder in self.routers or g.witness in self.routers:
-                continue
-            prefix = billing_batch.prefix(WORKSPACE, g.id)
-            mine = [b for k, b in self.batches() if k.startswith(prefix)]
-            logged = mine[-1].settled if mine else 0
-            rest = g.amount - logged
-            record = billing_batch.BillingRecord(
-                f"operator:{g.id}",
-                g.id,
-                rest,
-                permit_lib.CostKind.ESTIMATED,
-                "operator",
-                "",
-            )
-            batch = billing_batch.BillingBatch(
-                (record,) if rest else (), g.amount, g.epoch + 1, final=True
-            )
-            key = billing_batch.key(WORKSPACE, g.id, len(mine))
-            self.kv.cas(key, 0, billing_batch.encode(batch))
-            led = ledger_lib.charge(
-                self.ledger(), g.id, g.operation, logged, rest
-            )
-            assert isinstance(led, ledger_lib.Ledger), led
-            self._store(led)
-            self.charged.add(g.id)
-
     # Reports.
 
     def ask_report(self, own: incarnation.Incarnation) -> None:
@@ -526,46 +319,6 @@
         read_at_s = self.now_s - report.age_s - 1e-6
         assert report.spent_at_most >= self.spent_at(read_at_s), report
 
-    # The truth.
-
-    def _costs(
-        self, at_s: float = float("inf")
-    ) -> dict[tuple[str, str], tuple[int, int]]:
-        """Returns for each hold its cost and what a report may show.
-
-        A retry that took over the permit of a lost router settles the cost of
-        the whole request. Without one, such a request may be billed at its
-        full hold.
-        """
-        groups: dict[tuple[str, str], list[Run]] = {}
-        for run in self.runs.values():
-            if run.started_at_s <= at_s:
-                key = (run.permit.request_id, run.permit.grant_id)
-                groups.setdefault(key, []).append(run)
-        return {key: self._cost(runs) for key, runs in groups.items()}
-
-    def _cost(self, runs: list[Run]) -> tuple[int, int]:
-        settled = max((r.cost or 0 for r in runs), default=0)
-        unknown = [r.permit.hold for r in runs if r.cost is None]
-        cost = settled or max(unknown, default=0)
-        lost = [r.permit.hold for r in runs if r.entry_lost]
-        return cost, max([cost, *lost])
-
-    def spent(self) -> int:
-        """Returns the settled cost plus the holds of everything running."""
-        return sum(cost for cost, _ in self._costs().values())
-
-    def spent_at(self, at_s: float) -> int:
-        """Returns the spend of the runs that had started at a time."""
-        return sum(cost for cost, _ in self._costs(at_s).values())
-
-    def reported_bound(self) -> int:
-        """Returns the most that a report may call certainly spent."""
-        costs = {k: shown for k, (_, shown) in self._costs().items()}
-        for key, hold in self.orphans.items():
-            costs[key] = max(costs.get(key, 0), hold)
-        return sum(costs.values())
-
     # Time.
 
     def at(self, at_s: float, call: Callable[[], None]) -> None:
@@ -624,8 +377,7 @@
         self.heal()
         self.run_for(10.0)
         for own in self.names():
-            # A planned stop that can't complete ends at its grace period.
-            if self.routers[own].node.ctx.draining:
+            if self.routers[own].node.ctx.draining:  # Its grace period ends.
                 self.crash(own)
                 self.restart(own)
         self.run_for(5.0)
@@ -634,52 +386,13 @@
             self.finish(attempt_id, rng.randint(0, hold))
         self.run_for(40.0)
         self.charge_in_doubt()
-        # Grants of lost routers are found by whoever uses the workspace next.
-        for own in self.names():
-            self.acquire(own, 1)
+        self.run_for(1.0)
+        self.last_asks = [
+            self.acquire(own, 1, key=key)
+            for own in self.names()
+            for key in ("", f"last {own}")
+        ]
         self.run_for(5.0)
         for attempt_id in self.running():
             self.finish(attempt_id, 1)
         self.run_for(20.0)
-
-    # Checks.
-
-    def check_no_overspend(self) -> None:
-        """Asserts the budget guarantee at this moment."""
-        prepaid = self.ledger().prepaid
-        assert self.spent() <= prepaid, (
-            f"overspend: {self.spent()} of {prepaid}"
-        )
-
-    def check_billing(self) -> None:
-        """Asserts the billing guarantee after quiescence."""
-        counts = Counter(r.request_id for r in self.records())
-        repeated = {i: n for i, n in counts.items() if n > 1}
-        assert not repeated, f"billed more than once: {repeated}"
-        for run in self.runs.values():
-            ran = run.cost is None or run.cost > 0
-            if not ran or run.permit.grant_id in self.charged:
-                continue
-            assert counts[run.permit.request_id] == 1, f"not billed: {run}"
-        by_request = {r.request_id: r for r in self.records()}
-        for run in self.runs.values():
-            record = by_request.get(run.permit.request_id)
-            if run.cost and record and not run.entry_lost:
-                assert record.cost >= run.cost, (run, record)
-        led = self.ledger()
-        logged: dict[str, int] = {}
-        for key, batch in self.batches():
-            logged[key.split("/")[2]] = batch.settled
-        open_logged = sum(logged.get(i, 0) for i in led.grants)
-        total = sum(r.cost for r in self.records())
-        assert total == led.settled + open_logged, (total, led, logged)
-
-    def check_quiet(self) -> None:
-        """Asserts that nothing is left in progress after quiescence."""
-        for own, router in self.routers.items():
-            assert not router.node.entry.uses, (own, router.node.entry.uses)
-            for holder in router.node.holders.values():
-                for held in holder.state.grants.values():
-                    assert held.table.open_count == 0, held.table.rows
-        for g in self.ledger().grants.values():
-            assert g.holder in self.routers, f"stranded: {g}"
