Draw the standing reserves that workspaces ask for

Cause: nothing told the budget runtime which workspaces keep a reserve per failure domain, so the setting had no effect; the configuration counters were missing in /metrics; the size of the prefix index was applied per engine. Ruled out: drawing reserves for all workspaces; a router only knows the ones that it has loaded.

--- a/hibiscuspass/router/assembly.py
+++ b/hibiscuspass/router/assembly.py
@@ -33,6 +33,7 @@
 from hibiscuspass.router import metrics
 from hibiscuspass.router import part_configs
 from hibiscuspass.router import parts as parts_lib
+from hibiscuspass.router import reserve_keeper
 from hibiscuspass.router import retry_runtime
 from hibiscuspass.settings import router as router_settings
 from hibiscuspass.settings import tls
@@ -88,6 +89,9 @@
         self._config = self._make_config()
         self._loading = loading_config.LoadingConfig(self._config)
         self._budget = self._make_budget()
+        self._reserves = reserve_keeper.ReserveKeeper(
+            self._config, self._config.changes(), self._budget.keep_reserves
+        )
         self._backends = backend_pool.BackendPool(
             self._fleet, _make_engine, _make_service
         )
@@ -137,6 +141,7 @@
             recorder=self._recorder,
             cfg=cfg.config,
             kv_timeout_s=cfg.key_value.timeout_s,
+            metrics_registry=prometheus_client.REGISTRY,
         )
 
     def _make_budget(self) -> budget_runtime.BudgetRuntime:
@@ -216,6 +221,7 @@
         completed = await self._lifecycle.finish(
             timeout_s=max(grace_s - drain_s - _CUT_S, 0.0), cut_s=_CUT_S
         )
+        self._reserves.close()
         flushed = await self._budget.drain(timeout_s=drain_s)
         await self._api.close()
         await self._monitor.close()
--- a/hibiscuspass/router/part_configs.py
+++ b/hibiscuspass/router/part_configs.py
@@ -28,7 +28,7 @@
         failure_domain=cfg.process.failure_domain,
         seed=seed,
         block_tokens=_BLOCK_TOKENS,
-        index_entries_per_engine=cfg.routing.prefix_index_entries,
+        index_entries=cfg.routing.prefix_index_entries,
         index_entry_ttl_s=cfg.routing.prefix_entry_ttl_s,
         best_candidates=cfg.routing.candidates,
         prefill_rate=cfg.routing.prompt_tokens_per_s,
--- /dev/null
+++ b/hibiscuspass/router/reserve_keeper.py
@@ -0,0 +1,49 @@
+"""Keeps standing reserves for the workspaces that ask for them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import reactivex
+
+from hibiscuspass.core.configuration import entry as entry_lib
+from hibiscuspass.router import config_source
+
+
+class ReserveKeeper:
+    """Follows the configuration and names the workspaces with a reserve.
+
+    Args:
+      config: Configuration in force.
+      changes: Emits each change of a loaded workspace.
+      keep_reserves: Takes the complete set of workspaces with a reserve.
+    """
+
+    def __init__(
+        self,
+        config: config_source.ConfigSource,
+        changes: reactivex.Observable[entry_lib.ConfigEntry],
+        keep_reserves: Callable[[Iterable[str]], None],
+    ) -> None:
+        self._config = config
+        self._keep_reserves = keep_reserves
+        self._kept: set[str] = set()
+        self._subscription = changes.subscribe(self._on_change)
+
+    def close(self) -> None:
+        """Stops following the configuration."""
+        self._subscription.dispose()
+
+    def _on_change(self, entry: entry_lib.ConfigEntry) -> None:
+        workspace = self._config.workspace(entry.name)
+        wanted = (
+            workspace is not None
+            and workspace.enabled
+            and workspace.reserve_per_failure_domain > 0
+        )
+        if wanted == (entry.name in self._kept):
+            return
+        if wanted:
+            self._kept.add(entry.name)
+        else:
+            self._kept.discard(entry.name)
+        self._keep_reserves(sorted(self._kept))
