--- a/hibiscuspass/core/routing/config.py
+++ b/hibiscuspass/core/routing/config.py
@@ -15,9 +15,13 @@
       failure_domain: Failure domain of this router.
       seed: Seed of the random choices; differs between routers.
       block_tokens: Prompt tokens per prefix block.
-      index_entries_per_engine: Bound of the prefix index.
+      index_entries: Bound of the prefix index over all engines; an entry takes
+        about 200 bytes.
+      index_entries_per_engine: Bound of the prefix index per engine.
       index_entry_ttl_s: Age at which an unconfirmed index entry is dropped, in
         seconds.
+      max_scored: Engines that are scored per request. Of more engines, those
+        that may have the prefix, the home engine and a random sample are.
       best_candidates: Number of best engines that two are drawn from.
       candidate_slack_s: Candidates are at most this much slower than the best
         engine, in seconds.
@@ -31,8 +35,9 @@
         Beside the request's own first token the work delays all other
         requests of the engine.
       home_share: Share of a prompt that the score assumes to be cached on the
-        prompt's home engine, given by a hash that all routers share. Without
-        cache events it makes the routers choose the same engine.
+        prompt's home engine, given by a hash that all routers share, as far as
+        prefixes repeat. Without cache events it makes the routers choose the
+        same engine.
       home_blocks: Number of leading blocks that decide the home engine.
       queue_share: Share of the time to the deadline, less the own prompt work,
         that the expected queue may take. The rest covers what the estimate
@@ -45,6 +50,9 @@
       max_queue_s: Expected queue of an engine above which this router sends no
         more, in seconds.
       max_report_age_s: Age at which a load report carries no information.
+      queue_memory_s: Time in which a reported queue of other routers' prompts
+        approaches the mean of the engines, in seconds.
+      batch_memory_s: The same for their requests.
       silent_after_s: Time without any first token, beyond the expected one,
         after which an engine is ejected, in seconds.
       unix_minus_monotonic_s: Offset of the Unix time of load reports to the
@@ -56,14 +64,16 @@
     failure_domain: str = ""
     seed: int = 0
     block_tokens: int = 16
+    index_entries: int = 100_000
     index_entries_per_engine: int = 50_000
     index_entry_ttl_s: float = 120.0
+    max_scored: int = 64
     best_candidates: int = 3
     candidate_slack_s: float = 0.05
     near_tie_s: float = 0.005
     base_first_token_s: float = 0.02
     prefill_rate: float = 20_000.0
-    running_cost_s: float = 0.001
+    running_cost_s: float = 0.003
     uncached_weight: float = 0.5
     home_share: float = 0.6
     home_blocks: int = 8
@@ -72,6 +82,8 @@
     max_in_flight_per_engine: int = 256
     max_queue_s: float = 10.0
     max_report_age_s: float = 15.0
+    queue_memory_s: float = 0.1
+    batch_memory_s: float = 2.0
     silent_after_s: float = 2.0
     unix_minus_monotonic_s: float = 0.0
     ejection: ejection_lib.EjectionConfig = attrs.field(
--- a/hibiscuspass/core/routing/engine_set.py
+++ b/hibiscuspass/core/routing/engine_set.py
@@ -7,9 +7,13 @@
 from hibiscuspass.backends import engine
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
+from hibiscuspass.core.routing import config
 from hibiscuspass.core.routing import engine_load
 from hibiscuspass.core.routing import policy
 
+# Bounds the memory of lists by model and adapter, which callers can name.
+_MAX_SERVING = 256
+
 
 @attrs.define
 class EngineRecord:
@@ -36,20 +40,27 @@
 class EngineSet:
     """Known engines by name."""
 
-    def __init__(self, memory_s: float, unix_minus_monotonic_s: float) -> None:
-        self._memory_s = memory_s
-        self._offset_s = unix_minus_monotonic_s
+    def __init__(self, cfg: config.RoutingConfig) -> None:
+        self._cfg = cfg
+        self._offset_s = cfg.unix_minus_monotonic_s
         self.records: dict[str, EngineRecord] = {}
+        # Engines by model and adapter, rebuilt after a change.
+        self._serving: dict[tuple[str, str], list[EngineRecord]] = {}
 
     def on_backends(self, backends: Sequence[policy.BackendView]) -> None:
         """Replaces the set; kept engines keep their load."""
+        self._serving = {}
         old = self.records
         self.records = {
             view.name: EngineRecord(
                 view,
                 old[view.name].load
                 if view.name in old
-                else engine_load.EngineLoad(self._memory_s),
+                else engine_load.EngineLoad(
+                    self._cfg.max_report_age_s,
+                    self._cfg.queue_memory_s,
+                    self._cfg.batch_memory_s,
+                ),
             )
             for view in backends
         }
@@ -61,15 +72,29 @@
         taken as measured now.
         """
         record = self.records.get(report.engine)
-        if record is not None:
-            measured_s = min(now_s, report.at_s - self._offset_s)
-            record.load.on_report(report, measured_s)
+        if record is None:
+            return
+        old = record.load.report
+        measured_s = min(now_s, report.at_s - self._offset_s)
+        record.load.on_report(report, measured_s)
+        if (
+            old is None
+            or old.models != report.models
+            or old.adapters != report.adapters
+        ):
+            self._serving = {}
 
     def eligible(
         self, query: policy.RouteQuery
     ) -> list[EngineRecord] | refusal.Refusal:
         """Returns the engines that may serve a request, at least one."""
-        serving = [r for r in self.records.values() if r.serves(query)]
+        key = (query.model, query.adapter)
+        serving = self._serving.get(key)
+        if serving is None:
+            serving = [r for r in self.records.values() if r.serves(query)]
+            if len(self._serving) >= _MAX_SERVING:
+                self._serving = {}
+            self._serving[key] = serving
         if not serving:
             return refusal.Refusal(
                 reason_lib.Reason.NO_BACKEND,
--- a/tests/budget_checks.py
+++ b/tests/budget_checks.py
@@ -25,6 +25,18 @@
             f"overspend: {self.spent()} of {prepaid}"
         )
 
+    def check_refusals(self) -> None:
+        """Asserts that no request was refused as not run after it ran.
+
+        Deduplication ends with a grant that an operator had to decide on.
+        """
+        untrue = [
+            attempt_id
+            for attempt_id, grants in self.untrue_refusals
+            if not grants <= self.charged
+        ]
+        assert not untrue, untrue
+
     def check_billing(self) -> None:
         """Asserts the billing guarantee after quiescence."""
         counts = collections.Counter(r.request_id for r in self.records())
--- a/tests/budget_truth.py
+++ b/tests/budget_truth.py
@@ -1,5 +1,10 @@
 """What requests in a simulated fleet really cost."""
 
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import refusal
+from hibiscuspass.core import run_state
+from hibiscuspass.core.budget import actions
+from hibiscuspass.core.budget import permit as permit_lib
 from tests import budget_parts
 
 
@@ -9,6 +14,35 @@
     def __init__(self) -> None:
         self.runs: dict[str, budget_parts.Run] = {}
         self.orphans: dict[tuple[str, str], int] = {}
+        # Request of each attempt.
+        self.requests: dict[str, str] = {}
+        # Attempts that were refused as not run, with the grants under which
+        # another attempt of the same request may have run.
+        self.untrue_refusals: list[tuple[str, set[str]]] = []
+
+    def note_outcome(
+        self,
+        action: actions.Decide,
+        entry: incarnation.Incarnation,
+        now_s: float,
+    ) -> None:
+        """Records a new run, or a refusal that is not true."""
+        outcome = action.outcome
+        if isinstance(outcome, permit_lib.Permit):
+            run = budget_parts.Run(outcome, entry, now_s)
+            self.runs[action.attempt_id] = run
+        elif (
+            isinstance(outcome, refusal.Refusal)
+            and outcome.run is run_state.RunState.NO
+        ):
+            request_id = self.requests[action.attempt_id]
+            grants = {
+                run.permit.grant_id
+                for run in self.runs.values()
+                if run.permit.request_id == request_id and run.cost != 0
+            }
+            if grants:
+                self.untrue_refusals.append((action.attempt_id, grants))
 
     def _costs(
         self, at_s: float = float("inf")
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -266,6 +266,7 @@
         req = permit_lib.PermitRequest(
             request_id, attempt_id, WORKSPACE, worst_case, bool(key), "m"
         )
+        self.requests[attempt_id] = request_id
         self.handle(own, events.Acquire(req, self.now_s + timeout_s))
         return attempt_id
 
@@ -273,10 +274,7 @@
         self, own: incarnation.Incarnation, action: actions.Decide
     ) -> None:
         self.outcomes[action.attempt_id] = action.outcome
-        if isinstance(action.outcome, permit_lib.Permit):
-            self.runs[action.attempt_id] = budget_parts.Run(
-                action.outcome, own, self.now_s
-            )
+        self.note_outcome(action, own, self.now_s)
         if self.on_decide is not None:
             self.on_decide(action.attempt_id, action.outcome)
 
