Count a retry's settlement as the cost of the whole request

Cause: in walk 7773 a lost router had settled 7, and the retry that took its permit over settled 2; the simulated truth took the larger one and reported an overspend of 2 although the retry settles for the whole request by design.

Ruled out: a fault of the protocol; the only record has the retry's cost.

Before: walk 7773 fails. After: it passes; 425 budget and style tests pass in 25 s, and walks 0 to 399 pass.

Conclusion: of 4000 further walks (6000 to 9999), 6091 and 8067 still fail the check of untrue refusals: another attempt of the same key got its permit while the refusal was on its way.

--- a/tests/budget_truth.py
+++ b/tests/budget_truth.py
@@ -61,7 +61,8 @@
         return {key: self._cost(runs) for key, runs in groups.items()}
 
     def _cost(self, runs: list[budget_parts.Run]) -> tuple[int, int]:
-        settled = max((r.cost or 0 for r in runs), default=0)
+        # Runs are in order of their start; a later one settles for all.
+        settled = next((r.cost for r in reversed(runs) if r.cost), 0)
         unknown = [r.permit.hold for r in runs if r.cost is None]
         cost = settled or max(unknown, default=0)
         lost = [r.permit.hold for r in runs if r.entry_lost]
