Give up idle engine connections when a stream is cancelled

Cause: the relay's silence limit shortens with the observed gaps between tokens, while the adapter keeps the idle limit with which the stream was opened. When the relay's limit cancels a silent stream, the adapter closes that connection only. A resume then takes another pooled connection, which may have gone silent at the same time.

Ruled out: a threshold of silence in the adapter, because the limit that the relay uses is not known there and may be as short as min_idle_s. Every cancelled wait retires the pool instead. The price is one new connection for later calls after a caller leaves in the middle of a stream. A stream that the router ends itself, at the output limit, is closed and not cancelled, and keeps the pool.

Before: with four warm connections, all silenced in the middle of a stream, a resume after the cancellation ended with backend_timeout ("no answer in time"). A second test shows that another open stream on the same engine completes.

Conclusion: a cancelled stream has the effect of a timeout on the pool.

--- a/hibiscuspass/backends/openai_engine.py
+++ b/hibiscuspass/backends/openai_engine.py
@@ -177,9 +177,13 @@
         offset: int | None,
         idle_s: float,
     ) -> AsyncIterator[_Item]:
-        exchange = await self._client.open(
-            method, path, headers=headers, body=body, timeout_s=idle_s
-        )
+        try:
+            exchange = await self._client.open(
+                method, path, headers=headers, body=body, timeout_s=idle_s
+            )
+        except asyncio.CancelledError:
+            await self._on_cancelled()
+            raise
         # The first attempt alone may conclude that the request did not run.
         dispatched = offset is not None
         if isinstance(exchange, http_client.Failure):
@@ -210,9 +214,20 @@
                 yield event
             exchange.abort()
             yield self._lost(detail, events)
+        except asyncio.CancelledError:
+            await self._on_cancelled()
+            raise
         finally:
             await stream.close()
 
+    async def _on_cancelled(self) -> None:
+        """Gives up idle connections when a wait for the engine is cancelled.
+
+        The caller's silence limit may be shorter than the adapter's, so the
+        cancellation may be due to silence, as in `_cut`.
+        """
+        await self._client.retire()
+
     async def _check(
         self,
         exchange: http_client.Exchange,
