Bound the arrays, objects and strings of a completion body

Cause: msgspec already decodes bodies, but each array, object and string takes an allocation and work of the garbage collector. The event loop stands still meanwhile.

Ruled out: a stdlib decoder (there is none on this path); a lower default of max_body_bytes, because long prompts need it and text of that size takes 1 to 20 ms; a bound on all values, because arrays of token ids may have a million entries and take about 30 ms.

json_size counts brackets and strings before decoding, with bytes methods only. The count is exact for valid JSON, so text with quotes and brackets is not refused (property test against decoded values).

Bodies of more than 131,072 such values are now invalid_request.

--- a/hibiscuspass/core/dispatch/completion.py
+++ b/hibiscuspass/core/dispatch/completion.py
@@ -10,6 +10,7 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.configuration import workspace as workspace_lib
 from hibiscuspass.core.dispatch import cost
+from hibiscuspass.core.dispatch import json_size
 from hibiscuspass.core.dispatch import model_spec
 
 CHAT_PATH = "/v1/chat/completions"
@@ -101,6 +102,11 @@
 
 
 def _decode(raw: bytes) -> dict[str, Any] | refusal.Refusal:
+    if json_size.exceeds_limit(raw):
+        return _invalid(
+            "body has too many arrays, objects and strings,"
+            f" at most {json_size.MAX_JSON_VALUES} are allowed"
+        )
     try:
         body = msgspec.json.decode(raw)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as exc:
