Close caller connections whose request headers arrive slowly

Cause: the only limit on headers was aiohttp's keep-alive timer of 75 s, so a client that sent one byte per second held its connection that long.

The limit, Limits.headers_s (10 s), also bounds the TLS handshake.

Without the timer the three cases of test_slow_headers_end_the_connection fail, and pass with it, 5 of 5 repeats. Idle connections stay open, headers in several parts are accepted, and a stream longer than the limit completes.

Conclusion: slow headers cost a connection for at most 10 s. Part of a pipelined request that arrives during the call before it, and is not continued, is bounded by the keep-alive timer as before.

--- a/hibiscuspass/router/caller_api.py
+++ b/hibiscuspass/router/caller_api.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import functools
 import ssl
 
 from aiohttp import web
@@ -14,6 +15,7 @@
 from hibiscuspass.core.dispatch import completion
 from hibiscuspass.router import call_context
 from hibiscuspass.router import completions
+from hibiscuspass.router import header_deadline
 from hibiscuspass.router import http_answer
 from hibiscuspass.router import intake
 from hibiscuspass.router import interrupt
@@ -33,6 +35,7 @@
 _LINGER_S = 1.0
 _KEEP_ALIVE_S = 75.0
 _STOP_S = 1.0
+_BACKLOG_CONNECTIONS = 128
 
 
 class CallerApi:
@@ -41,6 +44,7 @@
     def __init__(self, parts: parts_lib.Parts) -> None:
         self._parts = parts
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
         self.port = 0
 
     async def start(
@@ -49,25 +53,43 @@
         """Starts to listen; port 0 picks a free one, see `port`."""
         runner = web.AppRunner(
             self.make_app(),
-            access_log=None,
             handler_cancellation=True,
-            keepalive_timeout=_KEEP_ALIVE_S,
-            lingering_time=_LINGER_S,
             shutdown_timeout=_STOP_S,
         )
         await runner.setup()
-        await web.TCPSite(runner, host, port, ssl_context=tls).start()
+        assert runner.server is not None
+        headers_s = self._parts.limits.headers_s
+        # `web.TCPSite` has no means to choose the class of connections.
+        self._listener = await asyncio.get_running_loop().create_server(
+            functools.partial(
+                header_deadline.HeaderDeadlineProtocol,
+                runner.server,
+                headers_s,
+                access_log=None,
+                keepalive_timeout=_KEEP_ALIVE_S,
+                lingering_time=_LINGER_S,
+            ),
+            host,
+            port,
+            ssl=tls,
+            ssl_handshake_timeout=headers_s if tls else None,
+            backlog=_BACKLOG_CONNECTIONS,
+        )
         self._runner = runner
-        self.port = runner.addresses[0][1]
+        self.port = self._listener.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
     def make_app(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application(client_max_size=0)
+        app = web.Application(
+            client_max_size=0, middlewares=[header_deadline.middleware]
+        )
         completion_handler = completions.CompletionHandler(self._parts)
         service_handler = service_calls.ServiceHandler(self._parts)
         endpoint = self._endpoint
--- a/hibiscuspass/router/limits.py
+++ b/hibiscuspass/router/limits.py
@@ -8,6 +8,8 @@
     """Bounds on what one caller can make this router do.
 
     Attributes:
+      headers_s: Longest time from the first byte of a request to the end of its
+        headers, and for a TLS handshake, in seconds.
       max_body_bytes: Largest request body.
       body_stall_s: Longest pause within a body, in seconds.
       body_total_s: Longest time for a whole body, in seconds.
@@ -23,6 +25,7 @@
       claim_timeout_s: Time for one call of the key-value service, in seconds.
     """
 
+    headers_s: float = 10.0
     max_body_bytes: int = 4 * 1024 * 1024
     body_stall_s: float = 5.0
     body_total_s: float = 60.0
