--- a/hibiscuspass/settings/program.py
+++ b/hibiscuspass/settings/program.py
@@ -27,6 +27,24 @@
         return "unknown (not installed)"
 
 
+def settings_path(file: str, option: str) -> str | None:
+    """Returns the settings file; None after a message if it isn't just one.
+
+    Args:
+      file: File given as an argument, or an empty string.
+      option: File given by `--settings`, or an empty string.
+    """
+    if bool(file) != bool(option):
+        return file or option
+    given = f"{file!r} and {option!r} are given" if file else "none is given"
+    print(
+        f"{given}, exactly one settings file is allowed: FILE or"
+        " --settings FILE",
+        file=sys.stderr,
+    )
+    return None
+
+
 def run_program(
     name: str,
     cls: type[T],
@@ -47,19 +65,25 @@
       The exit code; 2 if the settings are wrong.
     """
 
-    def command(settings: str, *, check: bool = False) -> int:
+    def command(
+        file: str = "", *, settings: str = "", check: bool = False
+    ) -> int:
         """Runs the program.
 
         Args:
-          settings: YAML file with the settings.
+          file: YAML file with the settings.
+          settings: The same file, given as an option.
           check: Validate the settings file and exit.
         """
-        loaded = loader.load(settings, cls)
+        path = settings_path(file, settings)
+        if path is None:
+            return EXIT_BAD_SETTINGS
+        loaded = loader.load(path, cls)
         if isinstance(loaded, loader.SettingsError):
             print(loaded, file=sys.stderr)
             return EXIT_BAD_SETTINGS
         if check:
-            print(f"{settings}: valid")
+            print(f"{path}: valid")
             return EXIT_OK
         return runner(start(loaded))
 
@@ -70,7 +94,6 @@
         command,
         argv=argv,
         version=f"{name} {version()}",
-        cli_options="has_default",
         argparse_kwargs=prog_args,
     )
     return outcome
--- a/hibiscuspass/timeline/main.py
+++ b/hibiscuspass/timeline/main.py
@@ -89,8 +89,9 @@
 
 
 def _command(
-    settings: str,
+    file: str = "",
     *,
+    settings: str = "",
     request: str = "",
     workspace: str = "",
     grant: str = "",
@@ -104,7 +105,8 @@
     Exits with 3 if events may be missing; standard error says which.
 
     Args:
-      settings: YAML file with the settings.
+      file: YAML file with the settings.
+      settings: The same file, given as an option.
       request: Only events of this request and of the grants that paid for it.
       workspace: Only events of this workspace.
       grant: Only events of this grant.
@@ -113,12 +115,15 @@
       json: Print one JSON object per line.
       check: Validate the settings file and exit.
     """
-    cfg = loader.load(settings, timeline_settings.TimelineSettings)
+    path = program.settings_path(file, settings)
+    if path is None:
+        return program.EXIT_BAD_SETTINGS
+    cfg = loader.load(path, timeline_settings.TimelineSettings)
     if isinstance(cfg, loader.SettingsError):
         print(cfg, file=sys.stderr)
         return program.EXIT_BAD_SETTINGS
     if check:
-        print(f"{settings}: valid")
+        print(f"{path}: valid")
         return program.EXIT_OK
     try:
         fleet_key = secrets.read_fleet_key(cfg.fleet_key_file)
@@ -136,7 +141,6 @@
         _command,
         argv=argv,
         version=f"hibiscuspass-timeline {program.version()}",
-        cli_options="has_default",
         no_negated_flags=True,
         argparse_kwargs={"prog": "hibiscuspass-timeline"},
     )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,11 +1,15 @@
 """Guards the command line shared by the servers."""
 
 import asyncio
+import pathlib
 
 import pytest
 
 from hibiscuspass.settings import ctl
 from hibiscuspass.settings import program
+from hibiscuspass.timeline import main as timeline_main
+
+_EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
 
 
 def _run(argv, start=None):
@@ -28,9 +32,35 @@
     return str(path)
 
 
-def test_check_validates_and_does_not_start(settings, capsys):
-    assert _run([settings, "--check"]) == program.EXIT_OK
-    assert "valid" in capsys.readouterr().out
+_FORMS = {
+    "positional": lambda path: [path],
+    "option": lambda path: ["--settings", path],
+    "joined": lambda path: [f"--settings={path}"],
+}
+
+
+@pytest.mark.parametrize("form", _FORMS)
+def test_check_validates_and_does_not_start(settings, capsys, form):
+    assert _run([*_FORMS[form](settings), "--check"]) == program.EXIT_OK
+    assert f"{settings}: valid" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("form", _FORMS)
+def test_the_timeline_takes_the_same_forms(capsys, form):
+    path = str(_EXAMPLES / "timeline.yaml")
+    argv = [*_FORMS[form](path), "--check"]
+    assert timeline_main.run(argv) == program.EXIT_OK
+    assert f"{path}: valid" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("run", [_run, timeline_main.run])
+@pytest.mark.parametrize("argv", [[], ["a.yaml", "--settings", "b.yaml"]])
+def test_exactly_one_settings_file_is_required(capsys, run, argv):
+    """Guards against a start with another file than the operator meant."""
+    assert run([*argv, "--check"]) == program.EXIT_BAD_SETTINGS
+    error = capsys.readouterr().err
+    assert "exactly one settings file" in error
+    assert all(name in error for name in argv if name.endswith(".yaml"))
 
 
 def test_bad_settings_exit_with_2_and_name_the_problem(tmp_path, capsys):
