--- a/benchmarks/test_budget_policies.py
+++ b/benchmarks/test_budget_policies.py
@@ -30,7 +30,8 @@
     )
 
 
-def _run(cell, budget, routers):
+def run_policies(cell, budget, routers):
+    """Runs the policies on the same schedule; returns results by policy."""
     requests = budget_run.schedule(_SEED, routers)
     prepaid = _BUDGETS[budget]
     # Large budgets keep a reserve for failure domains that are cut off.
@@ -54,7 +55,7 @@
 @pytest.mark.parametrize("cell", budget_run.CELLS, ids=lambda c: c.name)
 def test_policies(cell, budget, routers):
     print(f"\n{_HEADER}")
-    results = _run(cell, budget, routers)
+    results = run_policies(cell, budget, routers)
     protocol, static = results["protocol"], results["static"]
     assert protocol.overspend == 0
     if cell.name == "fault-free":
@@ -71,5 +72,5 @@
 def test_writes_do_not_grow_with_the_fleet(budget):
     """Guards against a cost that follows the number of routers."""
     cell = budget_run.CELLS[0]
-    few, many = (_run(cell, budget, n)["protocol"] for n in (3, 65))
+    few, many = (run_policies(cell, budget, n)["protocol"] for n in (3, 65))
     assert many.writes <= 2 * few.writes
