Repeat settlements only after their batch is due

Cause: at a flush interval of 10 s the entry routers repeated each settlement every 5 s although it is confirmed only with its batch. Ruled out: fewer appends to the witness; each permit and settlement needs one. Conclusion: the delay of repeats follows the flush interval.

--- a/hibiscuspass/router/part_configs.py
+++ b/hibiscuspass/router/part_configs.py
@@ -73,6 +73,11 @@
         + usual.recall_wait_s
         + _DRAW_S,
         flush_s=cfg.budgets.flush_interval_s,
+        # A settlement is confirmed with its batch, so an earlier repeat only
+        # costs messages.
+        report_retry_s=max(
+            usual.report_retry_s, 2 * cfg.budgets.flush_interval_s
+        ),
         orphan_window_s=cfg.budgets.orphan_window_s,
         dedup_retention_s=cfg.budgets.dedup_retention_s,
     )
