Check that the lost replies of the key-value tests take place

Cause: a write in the background could use up the fault, or nothing could, and the tests of lost replies would pass without having tested anything.

Each test now reads how many replies are still to be lost.

Before: no check.

--- a/tests/test_faults_key_value.py
+++ b/tests/test_faults_key_value.py
@@ -40,6 +40,13 @@
     return collections.Counter(run["idempotency_key"] for run in runs)
 
 
+async def _lost_replies_left(fleet: process_fleet.Fleet) -> int:
+    """Returns how many replies the service is still to lose."""
+    url = f"{fleet.programs['kv'].control_url}/faults"
+    async with fleet.session.get(url) as resp:
+        return (await resp.json())["lose_replies"]
+
+
 async def _until_settled(
     fleet: process_fleet.Fleet, request_ids: set[str]
 ) -> None:
@@ -133,6 +140,8 @@
             return await top_up() == 200
 
         await fleet.until(topped_up)
+        # One lost reply is enough: the next read shows that the write counts.
+        assert await _lost_replies_left(fleet) < lost
         # A repetition long after the success adds nothing either.
         assert await top_up() == 200
         led = await fleet.ledger()
@@ -166,6 +175,7 @@
             return status == 200
 
         await fleet.until(answered)
+        assert await _lost_replies_left(fleet) == 0
         for router in _ROUTERS:
             assert await _order(fleet, router, "k") == answers[-1]
         assert await _order_runs(fleet) == {"before": 1, "k": 1}
