Take test ports outside the range of outgoing connections

Cause: a run of tests/test_faults_key_value.py failed before its test began, since the engine stand-in could not bind its port (address already in use). The port had been probed in the range from which the kernel also takes the ports of outgoing connections (32768 to 60999 here), so another connection or test run could take it first. The stand-ins' control ports add to this.

Ruled out: a fault of the product; the failed case passed in two further runs without a change (25.80s, 25.86s), and no router had been started.

Before: 1 failed, 9 passed in 35.41s. After, three runs at the same time: test_faults_key_value.py 10 passed in 61.39s; test_faults_holder.py, test_faults_backends.py and test_code_style.py 361 passed in 46.03s; test_end_to_end.py 7 passed in 26.16s.

Conclusion: the cause is removed for outgoing connections; two test runs can still draw the same port at the same moment, with a small probability.

--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -30,14 +31,18 @@
 # Bounds waiting for a condition by the number of looks, not by time.
 _MAX_LOOKS = 600
 _LOOK_S = 0.05
+# Below the range from which Linux takes the ports of outgoing connections; one
+# of those could take the port before the program listens on it.
+_PORTS = (20_000, 32_000)
 
 
 def free_port() -> int:
     """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 @attrs.define(eq=False)
