Name budget modules by the usual terms

Cause: 'desk', 'parking', 'letter' and 'books' are private terms. Ruled out: new names in messages; the wire stays the same. Before and after: the same tests pass; PermitIssuer, HandoverStore, InFlightMessage and Records replace the old names.

--- a/hibiscuspass/core/budget/drainer.py
+++ b/hibiscuspass/core/budget/drainer.py
@@ -40,7 +40,7 @@
                     self._hand_over(holder, held)
         self._ctx.wake(WAKE_KEY, self._next_at_s)
         if other_roles_done and not any(
-            h.state.grants.keys() - h.state.parking.parked
+            h.state.grants.keys() - h.state.handovers.stored
             for h in holders.values()
         ):
             self._done = True
@@ -53,7 +53,7 @@
     ) -> None:
         to = self._successor(held.workspace)
         if to is None:
-            holder.state.parking.save(held)
+            holder.state.handovers.save(held)
             return
         self._ctx.send(
             to,
--- a/hibiscuspass/core/budget/grant_keeper.py
+++ b/hibiscuspass/core/budget/grant_keeper.py
@@ -65,13 +65,13 @@
             grant_id=grant.id,
         )
 
-    def is_hopeless(self, t: takeover_lib.Takeover) -> bool:
+    def is_unrecoverable(self, t: takeover_lib.Takeover) -> bool:
         """Whether neither the witness nor the store has the table."""
-        return t.failed and t.asked_store and not self._state.parking.busy
+        return t.failed and t.asked_store and not self._state.handovers.busy
 
     def on_fetched(self, result: kv_store.ReadResult | refusal.Refusal) -> None:
         """Takes a grant over with the table that its last holder stored."""
-        fetched = self._state.parking.on_read(result)
+        fetched = self._state.handovers.on_read(result)
         if fetched is not None:
             self.start_takeover(*fetched)
 
@@ -262,6 +262,6 @@
             t.pump()
             if t.failed and not t.asked_store:
                 t.asked_store = True
-                self._state.parking.fetch(t.grant)
+                self._state.handovers.fetch(t.grant)
             if t.failed and self._ctx.now_s >= t.retry_at_s:
                 del self._state.takeovers[t.grant.id]
--- a/hibiscuspass/core/budget/parking.py
+++ b/hibiscuspass/core/budget/handover_store.py
@@ -21,7 +21,7 @@
 
 
 @attrs.frozen
-class ParkedTable:
+class StoredTable:
     """Stored form of a table.
 
     Attributes:
@@ -34,14 +34,14 @@
 
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(ParkedTable)
+_decoder = msgspec.json.Decoder(StoredTable)
 
 
-class Parking:
+class HandoverStore:
     """Stores and fetches the tables of one workspace, one call at a time.
 
     Attributes:
-      parked: Ids of the grants whose table is stored for certain.
+      stored: Ids of the grants whose table is stored for certain.
     """
 
     def __init__(self, ctx: node_context.NodeContext, workspace: str) -> None:
@@ -52,7 +52,7 @@
         self._fetched: grant_lib.Grant | None = None
         self._value = b""
         self._revisions: dict[str, int] = {}
-        self.parked: set[str] = set()
+        self.stored: set[str] = set()
 
     @property
     def busy(self) -> bool:
@@ -65,11 +65,11 @@
 
     def save(self, held: held_grant.HeldGrant) -> None:
         """Stores the table of a frozen grant, unless a call is in flight."""
-        if self._token or held.id in self.parked:
+        if self._token or held.id in self.stored:
             return
         self._saved = held
         self._value = _encoder.encode(
-            ParkedTable(held.operation, held.table.snapshot())
+            StoredTable(held.operation, held.table.snapshot())
         )
         self._token = self._ctx.start_call(self._workspace)
         self._ctx.out.append(
@@ -97,7 +97,7 @@
             return
         current = result.current
         if result.succeeded or (current and current.value == self._value):
-            self.parked.add(held.id)
+            self.stored.add(held.id)
         else:
             self._revisions[held.id] = current.revision if current else 0
 
--- a/hibiscuspass/core/budget/node.py
+++ b/hibiscuspass/core/budget/node.py
@@ -363,7 +363,7 @@
     def _on_recalled(
         self, sender: _Sender, msg: messages.BudgetRecalled
     ) -> None:
-        self._holder(msg.workspace).desk.on_recalled(sender)
+        self._holder(msg.workspace).issuer.on_recalled(sender)
 
     def _on_hand_over(self, sender: _Sender, msg: messages.HandOver) -> None:
         def start(port: ledger_port.LedgerPort) -> None:
--- a/hibiscuspass/core/budget/ask_desk.py
+++ b/hibiscuspass/core/budget/permit_issuer.py
@@ -20,7 +20,7 @@
 _WANT_KEPT_S = 5.0
 
 
-class AskDesk:
+class PermitIssuer:
     """Serves asks from held grants, or refuses them for a known reason."""
 
     def __init__(
@@ -258,7 +258,7 @@
             self._refuse(ask, ask_answers.redirect(ask.msg, primary.holder))
             return True
         t = self._state.takeovers.get(primary.id)
-        if t is not None and self._keeper.is_hopeless(t):
+        if t is not None and self._keeper.is_unrecoverable(t):
             self._refuse(ask, ask_answers.primary_lost(ask.msg))
         elif t is None:
             self._keeper.start_takeover(primary)
--- a/hibiscuspass/core/budget/workspace_holder.py
+++ b/hibiscuspass/core/budget/workspace_holder.py
@@ -6,12 +6,12 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import refusal
 from hibiscuspass.core.budget import ask_answers
-from hibiscuspass.core.budget import ask_desk
 from hibiscuspass.core.budget import grant_keeper
 from hibiscuspass.core.budget import ledger_planner
 from hibiscuspass.core.budget import ledger_port
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
+from hibiscuspass.core.budget import permit_issuer
 from hibiscuspass.core.budget import permit_row
 from hibiscuspass.core.budget import witness_messages
 from hibiscuspass.core.budget import workspace_state
@@ -31,19 +31,19 @@
       workspace: The workspace.
       state: Grants, asks and the ledger.
       keeper: Follows the ledger and takes grants over.
-      desk: Answers asks.
+      issuer: Answers asks.
     """
 
     keeper_type: type[grant_keeper.GrantKeeper] = grant_keeper.GrantKeeper
-    desk_type: type[ask_desk.AskDesk] = ask_desk.AskDesk
+    issuer_type: type[permit_issuer.PermitIssuer] = permit_issuer.PermitIssuer
 
     def __init__(self, ctx: node_context.NodeContext, workspace: str) -> None:
         self._ctx = ctx
         self.workspace = workspace
         self.state = workspace_state.WorkspaceState(ctx, workspace)
         self.keeper = self.keeper_type(self.state)
-        self.desk = self.desk_type(self.state, self.keeper)
-        self.keeper.requeue = self.desk.on_ask
+        self.issuer = self.issuer_type(self.state, self.keeper)
+        self.keeper.requeue = self.issuer.on_ask
         self._planner = ledger_planner.LedgerPlanner(self.state)
         self._on_ledger: list[tuple[int, _OnLedger]] = []
 
@@ -56,7 +56,7 @@
         self, sender: incarnation.Incarnation, msg: messages.Ask
     ) -> None:
         """Serves an ask now, or queues it."""
-        self.desk.on_ask(sender, msg)
+        self.issuer.on_ask(sender, msg)
 
     def on_statuses(
         self, sender: incarnation.Incarnation, msg: messages.StatusAnswer
@@ -167,9 +167,9 @@
             if learned:
                 self.keeper.absorb()
             return
-        if self.state.parking.owns(token):
+        if self.state.handovers.owns(token):
             if is_write:
-                self.state.parking.on_cas(result)  # type: ignore[arg-type]
+                self.state.handovers.on_cas(result)  # type: ignore[arg-type]
             else:
                 self.keeper.on_fetched(result)  # type: ignore[arg-type]
             return
@@ -190,10 +190,10 @@
 
     def pump(self) -> None:
         """Does whatever has become possible."""
-        self.desk.serve_pending()
+        self.issuer.serve_pending()
         self.keeper.pump()
-        self.desk.end_recall()
-        self.desk.expire()
+        self.issuer.end_recall()
+        self.issuer.expire()
         self._sync()
 
     def _sync(self) -> None:
@@ -291,4 +291,4 @@
         self._on_ledger = [x for x in self._on_ledger if token < x[0]]
         for call in due:
             call(port)
-        self.desk.conclude()
+        self.issuer.conclude()
--- a/hibiscuspass/core/budget/workspace_state.py
+++ b/hibiscuspass/core/budget/workspace_state.py
@@ -1,11 +1,11 @@
 """What the parts of a workspace's holder share."""
 
 from hibiscuspass.core import incarnation
+from hibiscuspass.core.budget import handover_store
 from hibiscuspass.core.budget import held_grant
 from hibiscuspass.core.budget import ledger_port
 from hibiscuspass.core.budget import messages
 from hibiscuspass.core.budget import node_context
-from hibiscuspass.core.budget import parking
 from hibiscuspass.core.budget import pending_ask
 from hibiscuspass.core.budget import takeover as takeover_lib
 
@@ -17,7 +17,7 @@
       ctx: The node's context.
       workspace: The workspace.
       port: The ledger.
-      parking: Tables stored for the next holder.
+      handovers: Tables stored for the next holder.
       grants: Held grants by id.
       takeovers: Grants that this router is about to take over, by id.
       pending: Asks that can't be answered yet.
@@ -32,7 +32,7 @@
         self.ctx = ctx
         self.workspace = workspace
         self.port = ledger_port.LedgerPort(ctx, workspace)
-        self.parking = parking.Parking(ctx, workspace)
+        self.handovers = handover_store.HandoverStore(ctx, workspace)
         self.grants: dict[str, held_grant.HeldGrant] = {}
         self.takeovers: dict[str, takeover_lib.Takeover] = {}
         self.pending: list[pending_ask.PendingAsk] = []
--- a/tests/budget_checks.py
+++ b/tests/budget_checks.py
@@ -5,15 +5,15 @@
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core.budget import actions
-from tests import budget_books
+from tests import budget_records
 from tests import budget_truth
 
 
-class Checks(budget_books.Books, budget_truth.Truth):
+class Checks(budget_records.Records, budget_truth.Truth):
     """Compares the books with the truth."""
 
     def __init__(self) -> None:
-        budget_books.Books.__init__(self)
+        budget_records.Records.__init__(self)
         budget_truth.Truth.__init__(self)
         self.outcomes: dict[str, actions.Outcome] = {}
         self.last_asks: list[str] = []
--- a/tests/budget_parts.py
+++ b/tests/budget_parts.py
@@ -51,7 +51,7 @@
 
 
 @attrs.define
-class Letter:
+class InFlightMessage:
     """A message on its way."""
 
     sender: incarnation.Incarnation
--- a/tests/budget_books.py
+++ b/tests/budget_records.py
@@ -9,7 +9,7 @@
 WORKSPACE = "w"
 
 
-class Books:
+class Records:
     """What the key-value service has, and what operators change."""
 
     def __init__(self) -> None:
--- a/tests/budget_walk.py
+++ b/tests/budget_walk.py
@@ -24,13 +24,13 @@
     for _ in range(min(rng.randint(1, 8), len(world.bag))):
         in_order = rng.random() < 0.5
         index = 0 if in_order else rng.randrange(len(world.bag))
-        letter = world.bag.pop(index)
+        item = world.bag.pop(index)
         fate = rng.random()
         if fate < 0.04:
             continue
         if fate < 0.08:
-            world.bag.append(letter)
-        world.deliver(letter)
+            world.bag.append(item)
+        world.deliver(item)
 
 
 def _answer(world: budget_world.World, rng: random.Random) -> None:
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -23,11 +23,11 @@
 from hibiscuspass.core.budget import permit as permit_lib
 from hibiscuspass.core.budget import timing as timing_lib
 from hibiscuspass.core.configuration import workspace as workspace_lib
-from tests import budget_books
 from tests import budget_parts
+from tests import budget_records
 from tests import budget_views
 
-WORKSPACE = budget_books.WORKSPACE
+WORKSPACE = budget_records.WORKSPACE
 MESSAGE_DELAY_S = 0.001
 KV_DELAY_S = 0.003
 
@@ -56,7 +56,7 @@
         self.now_s = 1.0
         self.domains = domains
         self.kv_up = True
-        self.bag: list[budget_parts.Letter] = []
+        self.bag: list[budget_parts.InFlightMessage] = []
         self.calls: list[budget_parts.KvCall] = []
         self.late: list[budget_parts.KvCall] = []
         self.on_decide: Callable[[str, actions.Outcome], None] | None = None
@@ -162,7 +162,7 @@
         self, own: incarnation.Incarnation, action: actions.Action
     ) -> None:
         if isinstance(action, actions.Send):
-            self._send(budget_parts.Letter(own, action.to, action.msg))
+            self._send(budget_parts.InFlightMessage(own, action.to, action.msg))
         elif isinstance(action, actions.KvRead | actions.KvCas):
             self._call(budget_parts.KvCall(own, action))
         elif isinstance(action, actions.Decide):
@@ -175,14 +175,14 @@
         elif isinstance(action, actions.Drained):
             self.drained.add(own)
 
-    def _send(self, letter: budget_parts.Letter) -> None:
-        self.sent[type(letter.msg).__name__] += 1
-        if isinstance(letter.msg, messages.Report):
-            self._take_report(letter.msg)
+    def _send(self, item: budget_parts.InFlightMessage) -> None:
+        self.sent[type(item.msg).__name__] += 1
+        if isinstance(item.msg, messages.Report):
+            self._take_report(item.msg)
         elif self.auto:
-            self.at(self.now_s + MESSAGE_DELAY_S, lambda: self.deliver(letter))
+            self.at(self.now_s + MESSAGE_DELAY_S, lambda: self.deliver(item))
         else:
-            self.bag.append(letter)
+            self.bag.append(item)
 
     def _call(self, call: budget_parts.KvCall) -> None:
         if self.auto:
@@ -193,18 +193,18 @@
         else:
             self.calls.append(call)
 
-    def deliver(self, letter: budget_parts.Letter) -> bool:
+    def deliver(self, item: budget_parts.InFlightMessage) -> bool:
         """Delivers a message if its recipient can be reached."""
-        router = self.routers.get(letter.to)
-        if router is None or not self._connected(letter.sender, letter.to):
+        router = self.routers.get(item.to)
+        if router is None or not self._connected(item.sender, item.to):
             return False
         if router.frozen:
             if self.auto:
-                self.at(self.now_s + 0.5, lambda: self.deliver(letter))
+                self.at(self.now_s + 0.5, lambda: self.deliver(item))
             else:
-                self.bag.append(letter)
+                self.bag.append(item)
             return False
-        self.handle(letter.to, events.Received(letter.sender, letter.msg))
+        self.handle(item.to, events.Received(item.sender, item.msg))
         return True
 
     def answer(
@@ -350,8 +350,8 @@
         self.auto = True
         bag, self.bag = self.bag, []
         calls, self.calls = self.calls, []
-        for letter in bag:
-            self.deliver(letter)
+        for item in bag:
+            self.deliver(item)
         for call in calls:
             self.answer(call, reply=True, apply=True)
         for own in self.names():
--- a/tests/test_budget_protocol.py
+++ b/tests/test_budget_protocol.py
@@ -14,11 +14,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from hibiscuspass.core.budget import ask_desk
 from hibiscuspass.core.budget import grant_keeper
 from hibiscuspass.core.budget import held_grant
 from hibiscuspass.core.budget import ledger as ledger_lib
 from hibiscuspass.core.budget import node as node_lib
+from hibiscuspass.core.budget import permit_issuer
 from hibiscuspass.core.budget import permit_row
 from hibiscuspass.core.budget import witness as witness_lib
 from hibiscuspass.core.budget import workspace_holder
@@ -80,10 +80,10 @@
     @stateful.rule(index=_index, again=st.booleans())
     def deliver(self, index, again):
         if self.world.bag:
-            letter = self.world.bag.pop(index % len(self.world.bag))
+            item = self.world.bag.pop(index % len(self.world.bag))
             if again:
-                self.world.bag.append(letter)
-            self.world.deliver(letter)
+                self.world.bag.append(item)
+            self.world.deliver(item)
 
     @stateful.rule(index=_index)
     def drop(self, index):
@@ -257,7 +257,7 @@
         self.tables.pop((grant_id, operation), None)
 
 
-class _ServesKeysFromAnyGrant(ask_desk.AskDesk):
+class _ServesKeysFromAnyGrant(permit_issuer.PermitIssuer):
     def _usable_grant(self, ask):
         usable = (
             g
@@ -269,14 +269,14 @@
 
 def _node_type(
     grant=held_grant.HeldGrant,
-    desk=ask_desk.AskDesk,
+    issuer=permit_issuer.PermitIssuer,
     witness=witness_lib.WitnessRole,
 ):
     keeper = type("Keeper", (grant_keeper.GrantKeeper,), {"grant_type": grant})
     holder = type(
         "Holder",
         (workspace_holder.WorkspaceHolder,),
-        {"keeper_type": keeper, "desk_type": desk},
+        {"keeper_type": keeper, "issuer_type": issuer},
     )
     return type(
         "Node",
@@ -302,7 +302,7 @@
     "compare-and-swap revision": {"prepare": _without_revision_check},
     "create-only batches": {"prepare": _without_create_only},
     "deduplication under the primary": {
-        "node_type": _node_type(desk=_ServesKeysFromAnyGrant)
+        "node_type": _node_type(issuer=_ServesKeysFromAnyGrant)
     },
     "claim of contested requests": {
         "node_type": _node_type(grant=_BillsUnclaimed)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -66,7 +66,9 @@
 def test_the_example_inventory_lists_valid_vms():
     text = (_ROOT / "examples" / "inventory.yaml").read_text()
     vms = msgspec.convert(yaml.safe_load(text)["vms"], tuple[vm_list.Vm, ...])
-    routers = {_load("router-" + letter).peer_link.address for letter in "abc"}
+    routers = {
+        _load("router-" + in_flight).peer_link.address for in_flight in "abc"
+    }
     listed = {v.address for v in vms if v.role is vm_list.VmRole.ROUTER}
     assert listed == routers
 
