Report readiness only after the engines were asked for their load

Cause: a process test got no_backend from a router that answered /readyz; it had not yet read which models its engines serve. Ruled out: waiting for all engines, which takes minutes in a large fleet; 20 are enough, failed reads count, and the router stays ready. Before: ready at once.

--- a/hibiscuspass/router/assembly.py
+++ b/hibiscuspass/router/assembly.py
@@ -107,7 +107,9 @@
             poll_interval_s=cfg.routing.load_poll_interval_s,
             report_backend=self._fleet.report_backend,
         )
-        self._lifecycle = lifecycle.Lifecycle(self._config.is_ready)
+        self._lifecycle = lifecycle.Lifecycle(
+            lambda: self._config.is_ready() and self._monitor.is_ready()
+        )
         self._metrics = metrics.RouterMetrics(registry)
         self._metrics.add_gauge(
             "hibiscuspass_open_calls",
--- a/hibiscuspass/router/engine_monitor.py
+++ b/hibiscuspass/router/engine_monitor.py
@@ -25,6 +25,9 @@
 _MAX_CACHE_SUBSCRIPTIONS = 64
 _RECONNECT_S = 1.0
 _IDLE_S = 0.2
+# A router is ready once it has asked this many engines for their load; without
+# any report it would refuse requests for which there are engines.
+_ENGINES_BEFORE_READY = 20
 
 
 class EngineMonitor:
@@ -51,9 +54,21 @@
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._subscriptions: dict[str, asyncio.Task[None]] = {}
         self._poller: asyncio.Task[None] | None = None
+        self._asked: set[str] = set()
+        self._was_ready = False
         self._closed = False
         self._view_subscription = fleet.changes().subscribe(self._on_view)
 
+    def is_ready(self) -> bool:
+        """Whether enough engines have answered, or failed to, since the start.
+
+        Stays True once it was True, so that new engines change nothing.
+        """
+        if not self._was_ready:
+            needed = min(len(self._engines), _ENGINES_BEFORE_READY)
+            self._was_ready = len(self._asked) >= needed
+        return self._was_ready
+
     async def start(self) -> None:
         """Starts to poll."""
         self._poller = asyncio.create_task(self._poll_all())
@@ -132,6 +147,8 @@
                 await self._read_load(name, client)
         finally:
             self._polls.pop(name, None)
+            if len(self._asked) < _ENGINES_BEFORE_READY:
+                self._asked.add(name)
 
     async def _read_load(self, name: str, client: engine.Engine) -> None:
         report = await client.load(timeout_s=_LOAD_TIMEOUT_S)
--- a/tests/test_engine_monitor.py
+++ b/tests/test_engine_monitor.py
@@ -43,23 +43,45 @@
         self.known = [b.name for b in backends]
 
 
+def _make_monitor(routing, report_backend):
+    fleet = router_fakes.FakeFleet()
+    pool = backend_pool.BackendPool(
+        fleet, lambda vm: _Engine(vm.name), lambda vm: None
+    )
+    return engine_monitor.EngineMonitor(
+        fleet,
+        pool,
+        routing,
+        failure_domain="fd",
+        region="r",
+        poll_interval_s=0.5,
+        report_backend=report_backend,
+    )
+
+
+def test_router_is_ready_after_it_asked_its_engines():
+    """Fails if a router takes calls before it knows what engines serve."""
+    seen: list[bool] = []
+
+    async def scenario() -> None:
+        monitor = _make_monitor(_Routing(), lambda name, flag: None)
+        seen.append(monitor.is_ready())
+        await monitor.start()
+        await asyncio.sleep(10)
+        seen.append(monitor.is_ready())
+        await monitor.close()
+
+    virtual_loop.run(scenario())
+    assert seen == [False, True]
+
+
 def test_silent_engine_does_not_delay_reports_of_others():
     routing = _Routing()
     draining: list[tuple[str, bool]] = []
 
     async def scenario() -> None:
-        fleet = router_fakes.FakeFleet()
-        pool = backend_pool.BackendPool(
-            fleet, lambda vm: _Engine(vm.name), lambda vm: None
-        )
-        monitor = engine_monitor.EngineMonitor(
-            fleet,
-            pool,
-            routing,
-            failure_domain="fd",
-            region="r",
-            poll_interval_s=0.5,
-            report_backend=lambda name, flag: draining.append((name, flag)),
+        monitor = _make_monitor(
+            routing, lambda name, flag: draining.append((name, flag))
         )
         await monitor.start()
         await asyncio.sleep(10)
