Choose all adapters by settings

Cause: the settings named adapters, but the programs built fixed ones, and the adapters of engines and plain services had no setting. Ruled out: loading adapters by module path from settings, which runs any code that a settings file names.

--- a/hibiscuspass/admin/main.py
+++ b/hibiscuspass/admin/main.py
@@ -13,8 +13,7 @@
 from hibiscuspass.admin import ledger_store
 from hibiscuspass.admin import registrations
 from hibiscuspass.admin import report_gatherer
-from hibiscuspass.backends import etcd_kv
-from hibiscuspass.backends import http_vm_list
+from hibiscuspass.backends import adapters
 from hibiscuspass.backends import kv_client
 from hibiscuspass.core import incarnation
 from hibiscuspass.peers import pynng_transport
@@ -49,15 +48,17 @@
     ) -> None:
         self._cfg = cfg
         recorder = recorder_lib.Recorder(process)
-        self._etcd = etcd_kv.make_etcd_kv(cfg.key_value.address)
+        make_store = adapters.KV_STORES[cfg.key_value.adapter]
+        self._key_value = make_store(cfg.key_value.address)
         store = kv_client.make_kv_client(
-            self._etcd,
+            self._key_value,
             calls_per_s=cfg.key_value.calls_per_s,
             burst=cfg.key_value.burst,
             purpose="admin",
             metrics_registry=prometheus_client.REGISTRY,
         )
-        self._vm_list = http_vm_list.make_http_vm_list(cfg.vm_list.address)
+        make_vm_list = adapters.VM_LISTS[cfg.vm_list.adapter]
+        self._vm_list = make_vm_list(cfg.vm_list.address)
         self._transport = pynng_transport.make_transport(
             process,
             cfg.peer_link.address,
@@ -118,7 +119,7 @@
             await runner.cleanup()
             await self._transport.close()
             await self._vm_list.close()
-            await self._etcd.close()
+            await self._key_value.close()
         _log.info("administration program has stopped")
 
 
--- a/hibiscuspass/backends/kv_store.py
+++ b/hibiscuspass/backends/kv_store.py
@@ -127,3 +127,6 @@
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[WatchEvent]:
         """Yields changes below a prefix; ends when the watch is lost."""
+
+    async def close(self) -> None:  # noqa: B027, wrappers own no connection.
+        """Closes all connections."""
--- a/hibiscuspass/coordinator/main.py
+++ b/hibiscuspass/coordinator/main.py
@@ -7,12 +7,9 @@
 
 import prometheus_client
 
+from hibiscuspass.backends import adapters
 from hibiscuspass.backends import engine as engine_lib
-from hibiscuspass.backends import etcd_kv
-from hibiscuspass.backends import http_vm_list
-from hibiscuspass.backends import http_weight_store
 from hibiscuspass.backends import kv_client
-from hibiscuspass.backends import openai_engine
 from hibiscuspass.backends import vm_list as vm_list_lib
 from hibiscuspass.coordinator import demand_source
 from hibiscuspass.coordinator import shell as shell_lib
@@ -54,18 +51,18 @@
         self._plan_interval_s = plan_interval_s
         recorder = recorder_lib.Recorder(process)
         registry = prometheus_client.CollectorRegistry()
-        self._etcd = etcd_kv.make_etcd_kv(cfg.key_value.address)
+        make_store = adapters.KV_STORES[cfg.key_value.adapter]
+        self._key_value = make_store(cfg.key_value.address)
         store = kv_client.make_kv_client(
-            self._etcd,
+            self._key_value,
             calls_per_s=cfg.key_value.calls_per_s,
             burst=cfg.key_value.burst,
             purpose="coordinator",
             metrics_registry=registry,
         )
-        self._vms = http_vm_list.make_http_vm_list(cfg.vm_list.address)
-        self._weights = http_weight_store.make_http_weight_store(
-            cfg.weight_store.address
-        )
+        self._vms = adapters.VM_LISTS[cfg.vm_list.adapter](cfg.vm_list.address)
+        make_weights = adapters.WEIGHT_STORES[cfg.weight_store.adapter]
+        self._weights = make_weights(cfg.weight_store.address)
         self._transport = pynng_transport.make_transport(
             process,
             cfg.peer_link.address,
@@ -139,7 +136,7 @@
                 await engine.close()
             await self._weights.close()
             await self._vms.close()
-            await self._etcd.close()
+            await self._key_value.close()
 
     async def _plan_forever(self) -> None:
         plans = 0
@@ -186,13 +183,12 @@
         for name in [n for n in self._engines if n not in addresses]:
             self._demand.forget(name)
             await self._engines.pop(name).close()
+        make_engine = adapters.ENGINES[self._cfg.backends.engine_adapter]
         for name, address in addresses.items():
             if self._addresses.get(name) != address and name in self._engines:
                 await self._engines.pop(name).close()
             if name not in self._engines:
-                self._engines[name] = openai_engine.make_openai_engine(
-                    name, address
-                )
+                self._engines[name] = make_engine(name, address)
         self._addresses = addresses
 
 
--- a/hibiscuspass/router/assembly.py
+++ b/hibiscuspass/router/assembly.py
@@ -8,12 +8,11 @@
 
 import prometheus_client
 
-from hibiscuspass.backends import etcd_kv
-from hibiscuspass.backends import http_service
-from hibiscuspass.backends import http_vm_list
+from hibiscuspass.backends import adapters
+from hibiscuspass.backends import engine
 from hibiscuspass.backends import kv_client
-from hibiscuspass.backends import openai_engine
 from hibiscuspass.backends import prompt_blocks
+from hibiscuspass.backends import service
 from hibiscuspass.backends import vm_list
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.admission import factory as admission_factory
@@ -77,14 +76,15 @@
         timeline.register_timeline(
             self._transport, self._recorder, self.process
         )
-        self._store = etcd_kv.make_etcd_kv(cfg.key_value.address)
+        make_store = adapters.KV_STORES[cfg.key_value.adapter]
+        self._store = make_store(cfg.key_value.address)
         self._kv = kv_client.make_kv_client(
             self._store,
             calls_per_s=cfg.key_value.calls_per_s,
             burst=cfg.key_value.burst,
             metrics_registry=registry,
         )
-        self._vms = http_vm_list.make_http_vm_list(cfg.vm_list.address)
+        self._vms = adapters.VM_LISTS[cfg.vm_list.adapter](cfg.vm_list.address)
         self._fleet = self._make_fleet()
         self._config = self._make_config()
         self._loading = loading_config.LoadingConfig(self._config)
@@ -93,7 +93,7 @@
             self._config, self._config.changes(), self._budget.keep_reserves
         )
         self._backends = backend_pool.BackendPool(
-            self._fleet, _make_engine, _make_service
+            self._fleet, self._make_engine, self._make_service
         )
         self._routing = routing_factory.make_routing_policy(
             part_configs.routing(cfg, part_configs.random_seed())
@@ -188,6 +188,14 @@
             report_backend=self._fleet.report_backend,
         )
 
+    def _make_engine(self, vm: vm_list.Vm) -> engine.Engine:
+        make = adapters.ENGINES[self._cfg.backends.engine_adapter]
+        return make(vm.name, vm.address)
+
+    def _make_service(self, vm: vm_list.Vm) -> service.Service:
+        make = adapters.SERVICES[self._cfg.backends.service_adapter]
+        return make(vm.name, vm.address)
+
     async def start(self) -> None:
         """Starts all parts; the caller API opens last.
 
@@ -242,11 +250,3 @@
 def _hash_prefix(body: Mapping[str, Any]) -> Sequence[int]:
     prompt = prompt_blocks.prompt_bytes(body)
     return prompt_blocks.block_hashes(prompt[:_MAX_PREFIX_BYTES])
-
-
-def _make_engine(vm: vm_list.Vm) -> openai_engine.OpenAiEngine:
-    return openai_engine.make_openai_engine(vm.name, vm.address)
-
-
-def _make_service(vm: vm_list.Vm) -> http_service.HttpService:
-    return http_service.make_http_service(vm.name, vm.address)
--- a/hibiscuspass/settings/coordinator.py
+++ b/hibiscuspass/settings/coordinator.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from hibiscuspass.settings import backend_servers
 from hibiscuspass.settings import checks
 from hibiscuspass.settings import key_value as key_value_lib
 from hibiscuspass.settings import listen as listen_lib
@@ -22,6 +23,7 @@
       peer_link: Link to the other processes.
       key_value: Key-value service.
       vm_list: List of VMs.
+      backends: Protocols of the backend servers.
       weight_store: Weight store.
       lease_ttl_s: TTL of the coordinator's lease in seconds.
       reconcile_interval_s: Seconds between two comparisons of reported and
@@ -41,4 +43,7 @@
     reconcile_interval_s: float = attrs.field(
         default=1.0, validator=checks.in_range(0.05, 600)
     )
+    backends: backend_servers.BackendServerSettings = attrs.field(
+        factory=backend_servers.BackendServerSettings
+    )
     logging: logs.LoggingSettings = attrs.field(factory=logs.LoggingSettings)
--- a/hibiscuspass/settings/router.py
+++ b/hibiscuspass/settings/router.py
@@ -3,6 +3,7 @@
 import attrs
 
 from hibiscuspass.settings import admission as admission_lib
+from hibiscuspass.settings import backend_servers
 from hibiscuspass.settings import budgets as budgets_lib
 from hibiscuspass.settings import checks
 from hibiscuspass.settings import config_sync
@@ -28,6 +29,7 @@
       peer_link: Link to the other processes.
       key_value: Key-value service.
       vm_list: List of VMs.
+      backends: Protocols of the backend servers.
       models: Models and prices.
       services: Plain services.
       budgets: Budget runtime.
@@ -67,6 +69,9 @@
     config: config_sync.ConfigSyncSettings = attrs.field(
         factory=config_sync.ConfigSyncSettings
     )
+    backends: backend_servers.BackendServerSettings = attrs.field(
+        factory=backend_servers.BackendServerSettings
+    )
     logging: logs.LoggingSettings = attrs.field(factory=logs.LoggingSettings)
     shutdown_grace_s: float = attrs.field(
         default=60.0, validator=checks.in_range(0.1, 3600)
--- a/hibiscuspass/timeline/main.py
+++ b/hibiscuspass/timeline/main.py
@@ -8,7 +8,7 @@
 
 import defopt
 
-from hibiscuspass.backends import http_vm_list
+from hibiscuspass.backends import adapters
 from hibiscuspass.backends import vm_list as vm_list_lib
 from hibiscuspass.core import clock
 from hibiscuspass.core import incarnation
@@ -35,7 +35,7 @@
 async def _addresses(
     cfg: timeline_settings.TimelineSettings,
 ) -> tuple[list[str], list[collector.Gap]]:
-    vms = http_vm_list.make_http_vm_list(cfg.vm_list.address)
+    vms = adapters.VM_LISTS[cfg.vm_list.adapter](cfg.vm_list.address)
     try:
         listed = await vms.fetch(timeout_s=cfg.vm_list.timeout_s)
     finally:
