--- /dev/null
+++ b/benchmarks/plot_routing.py
@@ -0,0 +1,57 @@
+"""Draws the time to the first token under the routing policies.
+
+Run `python -m benchmarks.plot_routing docs/images/routing_policies.png`.
+"""
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+import defopt
+from matplotlib import pyplot as plt
+import numpy as np
+
+from benchmarks import routing_cell
+from benchmarks import routing_run
+
+_SEED = 1
+_TARGET_MS = 810.0
+_BAR_WIDTH = 0.2
+
+
+def main(path: str) -> None:
+    """Runs each cell once and writes the picture.
+
+    Args:
+      path: PNG file to write.
+    """
+    figure, axes = plt.subplots(1, 2, figsize=(11, 5.5), sharey=True)
+    cells = routing_cell.CELLS
+    places = np.arange(len(cells))
+    deployments = (routing_cell.CASABLANCA, routing_cell.CROATIA)
+    for axis, deployment in zip(axes, deployments, strict=True):
+        for i, policy in enumerate(routing_cell.POLICIES):
+            axis.barh(
+                places + (i - 1.5) * _BAR_WIDTH,
+                [
+                    routing_run.Run(deployment, cell, policy, _SEED)
+                    .run()
+                    .first_p95
+                    for cell in cells
+                ],
+                _BAR_WIDTH,
+                label=policy,
+            )
+        axis.axvline(_TARGET_MS, color="black", linestyle="--", linewidth=1)
+        axis.set_xscale("log")
+        axis.set_yticks(places, [cell.name for cell in cells])
+        axis.set_title(deployment.name)
+        axis.set_xlabel("p95 time to the first token, ms; dashed: target")
+    axes[0].invert_yaxis()
+    axes[1].legend(loc="lower right", fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
