--- a/benchmarks/plot_routing.py
+++ b/benchmarks/plot_routing.py
@@ -48,8 +48,9 @@
         axis.set_title(deployment.name)
         axis.set_xlabel("p95 time to the first token, ms; dashed: target")
     axes[0].invert_yaxis()
-    axes[1].legend(loc="lower right", fontsize="small")
-    figure.tight_layout()
+    handles, labels = axes[0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="lower center", ncols=len(labels))
+    figure.tight_layout(rect=(0.0, 0.05, 1.0, 1.0))
     figure.savefig(path, dpi=110)
 
 
