--- a/hibiscuspass/ctl/main.py
+++ b/hibiscuspass/ctl/main.py
@@ -43,7 +43,7 @@
     try:
         code: int = defopt.run(
             _COMMANDS,
-            argv=argv,
+            argv=_with_check_command(sys.argv[1:] if argv is None else argv),
             version=f"hibiscuspassctl {program.version()}",
             no_negated_flags=True,
             argparse_kwargs={"prog": "hibiscuspassctl"},
@@ -53,6 +53,17 @@
     return code
 
 
+def _with_check_command(argv: Sequence[str]) -> list[str]:
+    """Turns `--check [FILE]`, as the servers take it, into the subcommand."""
+    args = list(argv)
+    if args[:1] != ["--check"]:
+        return args
+    rest = args[1:]
+    if rest and not rest[0].startswith("-"):
+        rest.insert(0, "--settings")
+    return ["check", *rest]
+
+
 def main() -> None:
     """Entry point of the program."""
     sys.exit(run())
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -200,3 +200,16 @@
     assert server.ctl("router-list") == 0
     assert server.ctl("router-forget", "a/1") == output.EXIT_REFUSED
     assert "not registered" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("name", "code"),
+    [
+        ("examples/ctl.yaml", output.EXIT_OK),
+        ("missing.yaml", output.EXIT_USAGE),
+    ],
+)
+@pytest.mark.parametrize("form", ["--check", "check --settings"])
+def test_check_takes_both_forms(form, name, code):
+    """Fails if the command line differs from the servers' `--check FILE`."""
+    assert main.run([*form.split(), name]) == code
--- a/tests/test_drainer.py
+++ b/tests/test_drainer.py
@@ -88,7 +88,7 @@
 
 
 def test_handed_over_grant_is_noticed_soon():
-    """Fails if a stop waits for the holder's next regular look at the ledger."""
+    """Fails if a stop waits for the holder's next regular ledger read."""
     timing = attrs.evolve(budget_parts.default_timing(), ledger_poll_s=1000.0)
     world = budget_world.World(3, prepaid=1000, auto=True, timing=timing)
     attempt = world.acquire(world.names()[0], 10, key="k")
