Return standing reserves at a planned stop

Cause: since routers draw the reserves that workspaces ask for, a router with a reserve never finished its stop: reserves were exempt from closing. Before: the new test fails.

--- a/hibiscuspass/core/budget/grant_keeper.py
+++ b/hibiscuspass/core/budget/grant_keeper.py
@@ -227,7 +227,8 @@
             )
 
     def _retire_idle(self, held: held_grant.HeldGrant) -> None:
-        if held.closing or held.standing or self._state.is_primary(held):
+        kept = held.standing and not self._ctx.draining
+        if held.closing or kept or self._state.is_primary(held):
             return
         if self._state.port.busy or self._state.port.undecided:
             # A write may be about to make it the primary grant.
--- a/tests/test_drainer.py
+++ b/tests/test_drainer.py
@@ -3,7 +3,9 @@
 import attrs
 import pytest
 
+from hibiscuspass.core.budget import events
 from hibiscuspass.core.budget import permit as permit_lib
+from hibiscuspass.core.configuration import workspace as workspace_lib
 from tests import budget_parts
 from tests import budget_world
 
@@ -99,3 +101,18 @@
     world.drain(grant.holder)
     world.run_for(2.0)
     assert world.stopped == 1
+
+
+def test_standing_reserves_are_returned_at_a_stop():
+    """Fails if a router that keeps a reserve never finishes its stop."""
+    config = workspace_lib.Workspace(
+        budget_world.WORKSPACE, reserve_per_failure_domain=50
+    )
+    world = budget_world.World(3, prepaid=1000, auto=True, config=config)
+    world.restart = lambda router: None
+    for router in world.names():
+        world.handle(router, events.KeepReserves((budget_world.WORKSPACE,)))
+    world.run_for(10.0)
+    assert len(world.ledger().grants) == 3
+    _stop_fleet(world)
+    assert world.ledger().free == 1000
