--- /dev/null
+++ b/hibiscuspass/backends/sockets.py
@@ -0,0 +1,32 @@
+"""Sockets that notice a peer that no longer answers."""
+
+import socket
+from typing import Any
+
+# A peer is taken as lost after about 3 s without an acknowledgement.
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+_UNACKNOWLEDGED_MS = 3000
+
+
+def make_socket(addr_info: tuple[Any, ...]) -> socket.socket:
+    """Makes a TCP socket with keep-alive probes.
+
+    Args:
+      addr_info: Entry of `socket.getaddrinfo`.
+    """
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setblocking(False)
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+    return sock
--- /dev/null
+++ b/hibiscuspass/core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on forwarding plain HTTP requests to backend servers."""
--- /dev/null
+++ b/hibiscuspass/core/forwarding/backend_set.py
@@ -0,0 +1,114 @@
+"""Backend servers that a router may send to.
+
+Load pattern: servers are replaced, leave, crash and reuse addresses while the
+list of servers is late, cut off, or loses entries because the store was down.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscuspass.core.forwarding import backend as backend_lib
+
+# Entries that lapsed during an outage of the store are back within two
+# seconds of its return.
+_RETURN_GRACE_S = 2.0
+
+
+@attrs.define
+class _Known:
+    backend: backend_lib.Backend
+    # Set while an entry is missing, but perhaps only because of an outage.
+    missing_since_s: float | None = None
+
+
+class BackendSet:
+    """Known backend servers by id.
+
+    Attributes:
+      version: Grows with each change.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._known: dict[str, _Known] = {}
+        self._left: dict[str, int] = {}
+        self._regained_s = float("-inf")
+
+    def on_regained(self, now_s: float) -> None:
+        """Records that the store is back after an outage."""
+        self._regained_s = now_s
+
+    def on_entry(self, backend: backend_lib.Backend) -> bool:
+        """Takes in an entry of the list; returns whether it is news."""
+        if self._left.get(backend.backend_id) == backend.started_ms:
+            return False
+        old = self._known.get(backend.backend_id)
+        if old and old.backend == backend and old.missing_since_s is None:
+            return False
+        self._known[backend.backend_id] = _Known(backend)
+        self.version += 1
+        return True
+
+    def on_removed(self, backend_id: str, now_s: float) -> None:
+        """Takes in that an entry was removed.
+
+        Shortly after an outage the entry may have lapsed while its server is
+        well; such a server stays usable as a last choice for a while.
+        """
+        known = self._known.get(backend_id)
+        if known is None:
+            return
+        self.version += 1
+        if now_s - self._regained_s <= _RETURN_GRACE_S:
+            known.missing_since_s = now_s
+        else:
+            del self._known[backend_id]
+
+    def on_list(
+        self, backends: Iterable[backend_lib.Backend], now_s: float
+    ) -> None:
+        """Takes in the complete list."""
+        listed = {b.backend_id: b for b in backends}
+        for backend in listed.values():
+            self.on_entry(backend)
+        for backend_id in self._known.keys() - listed.keys():
+            self.on_removed(backend_id, now_s)
+
+    def on_leaving(self, backend_id: str) -> None:
+        """Records that a server said itself that it is leaving."""
+        known = self._known.get(backend_id)
+        if known is None:
+            return
+        self._left[backend_id] = known.backend.started_ms
+        del self._known[backend_id]
+        self.version += 1
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drops entries that did not come back; returns their ids."""
+        gone = [
+            backend_id
+            for backend_id, known in self._known.items()
+            if known.missing_since_s is not None
+            and now_s - max(known.missing_since_s, self._regained_s)
+            > _RETURN_GRACE_S
+        ]
+        for backend_id in gone:
+            del self._known[backend_id]
+            self.version += 1
+        return gone
+
+    def ready(self, service: str) -> list[backend_lib.Backend]:
+        """Returns the servers of a service that take new work."""
+        known = [
+            k
+            for k in self._known.values()
+            if k.backend.service == service
+            and k.backend.state is backend_lib.BackendState.READY
+        ]
+        listed = [k.backend for k in known if k.missing_since_s is None]
+        return listed or [k.backend for k in known]
+
+    def backends(self) -> list[backend_lib.Backend]:
+        """Returns all known servers."""
+        return [k.backend for k in self._known.values()]
--- /dev/null
+++ b/hibiscuspass/core/forwarding/route_table.py
@@ -0,0 +1,70 @@
+"""The immutable table that one configuration version gives."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import itertools
+
+import attrs
+
+from hibiscuspass.core.forwarding import route as route_lib
+
+
+@attrs.frozen
+class RouteTable:
+    """Routes, services, workspaces and limits of one version.
+
+    Attributes:
+      version: Version of the configuration.
+      services: Services by name.
+      workspaces: Workspaces by name.
+      keys: Workspace names by API key.
+      limits: What callers may send.
+    """
+
+    version: int
+    services: Mapping[str, route_lib.Service]
+    workspaces: Mapping[str, route_lib.Workspace]
+    keys: Mapping[str, str]
+    limits: route_lib.Limits
+    _routes: Mapping[str, tuple[route_lib.Route, ...]]
+
+    def match(self, host: str, path: str) -> route_lib.Route | None:
+        """Returns the route of a host with the longest matching prefix.
+
+        Args:
+          host: Host header; a port is ignored.
+          path: Path without the query.
+        """
+        name = host.strip().lower()
+        routes = self._routes.get(name) or self._routes.get(
+            name.rpartition(":")[0], ()
+        )
+        return next((r for r in routes if path.startswith(r.path_prefix)), None)
+
+    def workspace_of(self, key: str) -> route_lib.Workspace | None:
+        """Returns the workspace that holds an API key."""
+        return self.workspaces.get(self.keys.get(key, ""))
+
+
+def make_table(
+    version: int,
+    routes: Iterable[route_lib.Route],
+    services: Iterable[route_lib.Service],
+    workspaces: Iterable[route_lib.Workspace],
+    keys: Mapping[str, str],
+    limits: route_lib.Limits,
+) -> RouteTable:
+    """Makes the table; routes are ordered by falling prefix length."""
+    ordered = sorted(routes, key=lambda r: (r.host, -len(r.path_prefix)))
+    by_host = {
+        host: tuple(group)
+        for host, group in itertools.groupby(ordered, key=lambda r: r.host)
+    }
+    return RouteTable(
+        version=version,
+        services={s.name: s for s in services},
+        workspaces={w.name: w for w in workspaces},
+        keys=dict(keys),
+        limits=limits,
+        routes=by_host,
+    )
--- /dev/null
+++ b/hibiscuspass/core/prepaid/book.py
@@ -0,0 +1,205 @@
+"""All prepaid accounts of one router."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.prepaid import account
+from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import store_share
+
+
+@attrs.define
+class _Entry:
+    account: account.Account
+    rate: draw_policy.UseRate
+    used_before: bool = False
+
+
+@attrs.define
+class Hold:
+    """Tokens reserved for one request.
+
+    Attributes:
+      workspace: Workspace that pays.
+      tokens: Reserved tokens.
+      open: Whether the request has not been settled.
+    """
+
+    workspace: str
+    tokens: int
+    open: bool = True
+
+
+class Book:
+    """Accounts, draws and loans of one router; free of I/O.
+
+    Attributes:
+      routers: Number of routers that are alive, this one included.
+    """
+
+    def __init__(
+        self,
+        process: incarnation.Incarnation,
+        address: str,
+        cfg: draw_policy.DrawConfig,
+    ) -> None:
+        self.routers = 1
+        self.share = store_share.StoreShare(process, address)
+        self._process = process
+        self._address = address
+        self._cfg = cfg
+        self._prepaid: dict[str, int] = {}
+        self._entries: dict[str, _Entry] = {}
+
+    def on_prepaid(self, prepaid: Mapping[str, int]) -> None:
+        """Sets the prepaid amounts of the current configuration."""
+        self._prepaid = dict(prepaid)
+
+    def is_limited(self, workspace: str) -> bool:
+        """Returns whether a workspace has a prepaid amount."""
+        return workspace in self._prepaid
+
+    def available(self, workspace: str) -> int:
+        """Returns the tokens that this router may still use."""
+        entry = self._entries.get(workspace)
+        return entry.account.available if entry else 0
+
+    def undrawn(self, workspace: str) -> int:
+        """Returns the tokens that no router has drawn, as last known."""
+        return max(
+            0, self._prepaid.get(workspace, 0) - self.share.total(workspace)
+        )
+
+    def hold(self, workspace: str, tokens: int, now_s: float) -> Hold | None:
+        """Reserves tokens for a request; None without room."""
+        entry = self._entry(workspace, now_s)
+        if not entry.account.hold(tokens):
+            return None
+        entry.used_before = True
+        entry.rate.add(tokens, now_s)
+        return Hold(workspace, tokens)
+
+    def settle(self, hold: Hold, used: int, now_s: float) -> None:
+        """Replaces a reservation by the tokens used; later calls do nothing."""
+        if not hold.open:
+            return
+        hold.open = False
+        entry = self._entry(hold.workspace, now_s)
+        entry.account.settle(hold.tokens, used)
+        entry.rate.add(used - hold.tokens, now_s)
+
+    def wanted_loan(self, workspace: str, tokens: int, now_s: float) -> int:
+        """Returns the size of a useful loan for a request of `tokens`."""
+        entry = self._entry(workspace, now_s)
+        return max(tokens, int(entry.rate.per_s(now_s)))
+
+    def lend(
+        self, peer: incarnation.Incarnation, ask: messages.Borrow, now_s: float
+    ) -> messages.Lent:
+        """Lends tokens to a peer that asks for them."""
+        acc = self._entry(ask.workspace, now_s).account
+        total = acc.lend(peer, ask.least, ask.wanted)
+        return self._lent({ask.workspace: total}, {ask.workspace: acc})
+
+    def lend_everything(
+        self, peer: incarnation.Incarnation
+    ) -> messages.Lent | None:
+        """Lends all available tokens to a peer; None if there are none."""
+        accounts = {
+            name: entry.account
+            for name, entry in self._entries.items()
+            if entry.account.available > 0
+        }
+        totals = {
+            name: acc.lend(peer, acc.available, 0)
+            for name, acc in accounts.items()
+        }
+        return self._lent(totals, accounts) if totals else None
+
+    def receive(
+        self,
+        peer: incarnation.Incarnation,
+        totals: Mapping[str, int],
+        now_s: float,
+    ) -> int:
+        """Takes in loans; returns the number of new tokens."""
+        return sum(
+            self._entry(name, now_s).account.receive(peer, total)
+            for name, total in totals.items()
+        )
+
+    def planned_changes(self, now_s: float) -> dict[str, int]:
+        """Returns the draws and returns that are due, by workspace."""
+        changes = {
+            name: draw_policy.planned_change(
+                self._position(name, now_s), self._cfg
+            )
+            for name in self._prepaid
+        }
+        return {name: change for name, change in changes.items() if change}
+
+    def urgent_draw(self, workspace: str, tokens: int, now_s: float) -> int:
+        """Returns the draw that gives a request room; 0 if there is none."""
+        position = self._position(workspace, now_s)
+        missing = tokens - position.available
+        if not 0 < missing <= position.undrawn:
+            return 0
+        regular = draw_policy.planned_change(position, self._cfg)
+        return min(position.undrawn, max(missing, regular))
+
+    def surplus(self) -> dict[str, int]:
+        """Returns the changes that return everything available."""
+        return {
+            name: -entry.account.available
+            for name, entry in self._entries.items()
+            if entry.account.available > 0 and name in self._prepaid
+        }
+
+    def used(self) -> dict[str, int]:
+        """Returns the tokens used by workspace."""
+        return {
+            name: entry.account.used
+            for name, entry in self._entries.items()
+            if entry.account.used
+        }
+
+    def sync_drawn(self, now_s: float) -> None:
+        """Copies the certain draws of the store share into the accounts."""
+        for name in self._prepaid.keys() | self._entries.keys():
+            self._entry(name, now_s).account.drawn = self.share.drawn(name)
+
+    def _position(self, workspace: str, now_s: float) -> draw_policy.Position:
+        entry = self._entry(workspace, now_s)
+        return draw_policy.Position(
+            prepaid=self._prepaid.get(workspace, 0),
+            drawn_by_all=self.share.total(workspace),
+            available=entry.account.available,
+            rate_per_s=entry.rate.per_s(now_s),
+            used_before=entry.used_before,
+            routers=self.routers,
+        )
+
+    def _entry(self, workspace: str, now_s: float) -> _Entry:
+        entry = self._entries.get(workspace)
+        if entry is None:
+            entry = _Entry(
+                account.Account(),
+                draw_policy.UseRate(self._cfg.rate_memory_s, now_s),
+            )
+            self._entries[workspace] = entry
+        return entry
+
+    def _lent(
+        self,
+        totals: Mapping[str, int],
+        accounts: Mapping[str, account.Account],
+    ) -> messages.Lent:
+        return messages.Lent(
+            totals=dict(totals),
+            available={name: acc.available for name, acc in accounts.items()},
+            lender=str(self._process),
+            address=self._address,
+        )
--- /dev/null
+++ b/hibiscuspass/core/prepaid/messages.py
@@ -0,0 +1,40 @@
+"""Messages between routers about prepaid tokens."""
+
+import attrs
+
+
+@attrs.frozen
+class Borrow:
+    """Asks a peer for tokens.
+
+    Attributes:
+      workspace: Workspace of the tokens.
+      least: Tokens needed now.
+      wanted: Tokens that would be useful.
+    """
+
+    workspace: str
+    least: int
+    wanted: int
+
+
+@attrs.frozen
+class Lent:
+    """Tokens that the sender has lent to the recipient.
+
+    Attributes:
+      totals: Total lent since the start of both processes, by workspace.
+      available: Tokens that remain at the sender, by workspace.
+      lender: Sender, in the `name/start_id` form.
+      address: `host:port` of the sender's peer link.
+    """
+
+    totals: dict[str, int]
+    available: dict[str, int]
+    lender: str
+    address: str
+
+
+@attrs.frozen
+class Accepted:
+    """Confirms that tokens were taken in."""
--- /dev/null
+++ b/hibiscuspass/core/prepaid/store_record.py
@@ -0,0 +1,90 @@
+"""Records of the ledger in the store.
+
+Per workspace one total of all draws; per start of a router what it drew. Both
+change in one transaction.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from hibiscuspass.core import incarnation
+
+WORKSPACE_PREFIX = "prepaid/"
+ROUTER_PREFIX = "routers/"
+
+
+class WorkspaceRecord(msgspec.Struct, frozen=True):
+    """Tokens of one workspace that routers drew and did not return."""
+
+    drawn: int = 0
+
+
+class RouterRecord(msgspec.Struct, frozen=True):
+    """One start of a router.
+
+    Attributes:
+      address: `host:port` of its peer link.
+      drawn: Tokens drawn and not returned, by workspace; negative if it
+        returned tokens that it had received from peers.
+      used: Tokens used when the record was written, by workspace.
+    """
+
+    address: str
+    drawn: dict[str, int] = {}
+    used: dict[str, int] = {}
+
+
+_WORKSPACE = msgspec.json.Decoder(WorkspaceRecord)
+_ROUTER = msgspec.json.Decoder(RouterRecord)
+
+
+def workspace_key(workspace: str) -> str:
+    """Returns the key of a workspace's record."""
+    return WORKSPACE_PREFIX + workspace
+
+
+def router_key(process: incarnation.Incarnation) -> str:
+    """Returns the key of a router's record."""
+    return f"{ROUTER_PREFIX}{process}"
+
+
+def process_of(key: str) -> incarnation.Incarnation:
+    """Returns the router of a record's key.
+
+    Raises:
+      ValueError: The key is not of a router's record.
+    """
+    return incarnation.parse(key.removeprefix(ROUTER_PREFIX))
+
+
+def decode_workspace(data: bytes) -> WorkspaceRecord:
+    """Decodes a workspace's record.
+
+    Raises:
+      msgspec.MsgspecError: The data is not such a record.
+    """
+    return _WORKSPACE.decode(data)
+
+
+def decode_router(data: bytes) -> RouterRecord:
+    """Decodes a router's record.
+
+    Raises:
+      msgspec.MsgspecError: The data is not such a record.
+    """
+    return _ROUTER.decode(data)
+
+
+def encode(record: WorkspaceRecord | RouterRecord) -> bytes:
+    """Encodes a record."""
+    return msgspec.json.encode(record)
+
+
+def with_changes(
+    drawn: Mapping[str, int], deltas: Mapping[str, int]
+) -> dict[str, int]:
+    """Returns the amounts after changes; zero amounts are left out."""
+    names = drawn.keys() | deltas.keys()
+    sums = {n: drawn.get(n, 0) + deltas.get(n, 0) for n in sorted(names)}
+    return {name: amount for name, amount in sums.items() if amount}
--- /dev/null
+++ b/hibiscuspass/core/prepaid/store_share.py
@@ -0,0 +1,140 @@
+"""What one router drew from the store, through writes of unknown outcome."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.prepaid import store_record
+
+
+@attrs.frozen
+class Transaction:
+    """A conditional write of the ledger.
+
+    Attributes:
+      expected: Revision that each key must have.
+      writes: New values by key.
+      deltas: Tokens drawn (positive) or returned, by workspace.
+      drawn: The router's own amounts after the write.
+    """
+
+    expected: Mapping[str, int]
+    writes: Mapping[str, bytes]
+    deltas: Mapping[str, int]
+    drawn: Mapping[str, int]
+
+
+@attrs.define
+class _Total:
+    revision: int = 0
+    drawn: int = 0
+
+
+class StoreShare:
+    """The router's side of the ledger in the store.
+
+    Tokens count as drawn only after their write is confirmed or read back,
+    and as returned from the moment the write is planned. A write of unknown
+    outcome may take effect later as long as the router's own record has the
+    revision that the write expects.
+    """
+
+    def __init__(self, process: incarnation.Incarnation, address: str) -> None:
+        self._key = store_record.router_key(process)
+        self._address = address
+        self._own_revision = 0
+        self._own: dict[str, int] = {}
+        self._totals: dict[str, _Total] = {}
+        # Returns that may still take effect.
+        self._doubtful: dict[str, int] = {}
+
+    def drawn(self, workspace: str) -> int:
+        """Returns the tokens that certainly belong to this router."""
+        return self._own.get(workspace, 0) - self._doubtful.get(workspace, 0)
+
+    def total(self, workspace: str) -> int:
+        """Returns the last known total of all routers' draws."""
+        total = self._totals.get(workspace)
+        return total.drawn if total else 0
+
+    def plan(
+        self, deltas: Mapping[str, int], used: Mapping[str, int]
+    ) -> Transaction:
+        """Plans one write; at most one may be in flight.
+
+        Args:
+          deltas: Tokens to draw (positive) or to return, by workspace.
+          used: Tokens used so far by workspace, for reports.
+        """
+        for name, delta in deltas.items():
+            if delta < 0:
+                self._doubtful[name] = self._doubtful.get(name, 0) - delta
+        expected = {self._key: self._own_revision}
+        writes: dict[str, bytes] = {}
+        for name, delta in deltas.items():
+            total = self._totals.setdefault(name, _Total())
+            key = store_record.workspace_key(name)
+            expected[key] = total.revision
+            writes[key] = store_record.encode(
+                store_record.WorkspaceRecord(total.drawn + delta)
+            )
+        drawn = store_record.with_changes(self._own, deltas)
+        writes[self._key] = store_record.encode(
+            store_record.RouterRecord(self._address, drawn, dict(used))
+        )
+        return Transaction(expected, writes, dict(deltas), drawn)
+
+    def on_committed(self, txn: Transaction, revision: int) -> None:
+        """Takes in a confirmed write; it rules out all earlier ones."""
+        self._own = dict(txn.drawn)
+        self._own_revision = revision
+        self._doubtful = {}
+        for name, delta in txn.deltas.items():
+            total = self._totals[name]
+            total.drawn += delta
+            total.revision = revision
+
+    def on_not_done(self, txn: Transaction) -> None:
+        """Takes in that a write certainly has no effect."""
+        for name, delta in txn.deltas.items():
+            if delta < 0:
+                self._doubtful[name] += delta
+
+    def on_conflict(
+        self, txn: Transaction, current: Mapping[str, kv_store.KeyValue]
+    ) -> None:
+        """Takes in the present values after a failed condition."""
+        self.on_not_done(txn)
+        self.on_read(txn.expected, current)
+
+    def on_read(
+        self,
+        keys: Mapping[str, int],
+        current: Mapping[str, kv_store.KeyValue],
+    ) -> None:
+        """Takes in present values of the store.
+
+        Args:
+          keys: The keys that were read.
+          current: Values of those that exist.
+        """
+        own = current.get(self._key)
+        if own and own.revision > self._own_revision:
+            # An earlier write of unknown outcome took effect.
+            record = store_record.decode_router(own.value)
+            self._own = dict(record.drawn)
+            self._own_revision = own.revision
+            self._doubtful = {}
+        for key in keys:
+            if key == self._key:
+                continue
+            name = key.removeprefix(store_record.WORKSPACE_PREFIX)
+            self._adopt_total(name, current.get(key))
+
+    def _adopt_total(self, name: str, item: kv_store.KeyValue | None) -> None:
+        total = self._totals.setdefault(name, _Total())
+        if item is not None and item.revision > total.revision:
+            total.drawn = store_record.decode_workspace(item.value).drawn
+            total.revision = item.revision
--- /dev/null
+++ b/hibiscuspass/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway program: forwards HTTP requests by route."""
--- /dev/null
+++ b/hibiscuspass/gateway/config_follower.py
@@ -0,0 +1,65 @@
+"""Keeps the newest configuration."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import structlog
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import refusal
+from hibiscuspass.core.forwarding import route_table
+from hibiscuspass.gateway import follower
+
+_log = structlog.get_logger(__name__)
+
+Decode = Callable[[bytes], route_table.RouteTable | refusal.Refusal]
+
+
+class ConfigFollower(follower.Subscriber):
+    """Holds one immutable table; versions never go back.
+
+    Attributes:
+      table: Newest table; None before the first one was read.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        decode: Decode,
+        on_table: Callable[[route_table.RouteTable], None],
+    ) -> None:
+        self.table: route_table.RouteTable | None = None
+        self._key = key
+        self._decode = decode
+        self._on_table = on_table
+
+    def on_list(self, entries: Sequence[kv_store.KeyValue]) -> None:
+        """See base class."""
+        for entry in entries:
+            if entry.key == self._key:
+                self._adopt(entry.value, entry.revision)
+
+    def on_event(self, event: kv_store.WatchEvent) -> None:
+        """See base class."""
+        if event.key == self._key and event.value is not None:
+            self._adopt(event.value, event.revision)
+
+    def on_contact(self, in_contact: bool) -> None:
+        """See base class."""
+
+    def _adopt(self, data: bytes, revision: int) -> None:
+        table = self._decode(data)
+        if isinstance(table, refusal.Refusal):
+            _log.error(
+                "unreadable configuration",
+                revision=revision,
+                detail=table.detail,
+            )
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        _log.info(
+            "configuration adopted", version=table.version, revision=revision
+        )
+        self.table = table
+        self._on_table(table)
--- /dev/null
+++ b/hibiscuspass/gateway/follower.py
@@ -0,0 +1,100 @@
+"""Follows the keys below a prefix of the store."""
+
+import abc
+import asyncio
+from collections.abc import Sequence
+import random
+
+import structlog
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.backends import txn_store
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+
+_log = structlog.get_logger(__name__)
+
+_READ_TIMEOUT_S = 1.5
+# A poll that is held longer than it asked for has lost its connection.
+_POLL_MARGIN_S = 0.8
+_PAUSE_S = (0.1, 0.3)
+
+
+class Subscriber(abc.ABC):
+    """Takes in what a follower reads."""
+
+    @abc.abstractmethod
+    def on_list(self, entries: Sequence[kv_store.KeyValue]) -> None:
+        """Takes in all entries below the prefix."""
+
+    @abc.abstractmethod
+    def on_event(self, event: kv_store.WatchEvent) -> None:
+        """Takes in one change."""
+
+    @abc.abstractmethod
+    def on_contact(self, in_contact: bool) -> None:
+        """Takes in that the store was lost or is back."""
+
+
+class Follower:
+    """Reads a prefix once, then polls for changes.
+
+    After any lost contact the prefix is read again, because a poll may have
+    missed changes whose history is gone.
+    """
+
+    def __init__(
+        self,
+        store: txn_store.TxnStore,
+        prefix: str,
+        subscriber: Subscriber,
+        wait_s: float,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._subscriber = subscriber
+        self._wait_s = wait_s
+        self._in_contact: bool | None = None
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            result = await self._store.get_prefix(
+                self._prefix, timeout_s=_READ_TIMEOUT_S
+            )
+            if isinstance(result, refusal.Refusal):
+                self._set_contact(False, result)
+                await asyncio.sleep(random.uniform(*_PAUSE_S))
+                continue
+            self._set_contact(True)
+            self._subscriber.on_list(result.entries)
+            await self._poll(result.revision)
+
+    async def _poll(self, revision: int) -> None:
+        while True:
+            changes = await self._store.poll(
+                self._prefix,
+                revision,
+                wait_s=self._wait_s,
+                timeout_s=self._wait_s + _POLL_MARGIN_S,
+            )
+            if isinstance(changes, refusal.Refusal):
+                if changes.reason is not reason_lib.Reason.STALE:
+                    self._set_contact(False, changes)
+                return
+            for event in changes.events:
+                self._subscriber.on_event(event)
+            revision = max(revision, changes.revision)
+
+    def _set_contact(
+        self, in_contact: bool, why: refusal.Refusal | None = None
+    ) -> None:
+        if in_contact == self._in_contact:
+            return
+        self._in_contact = in_contact
+        _log.info(
+            "store regained" if in_contact else "store lost",
+            prefix=self._prefix,
+            detail=why.detail if why else "",
+        )
+        self._subscriber.on_contact(in_contact)
--- /dev/null
+++ b/hibiscuspass/gateway/process.py
@@ -0,0 +1,234 @@
+"""One gateway process from start to stop."""
+
+import asyncio
+from collections.abc import Coroutine
+import hashlib
+import os
+import time
+from typing import Any
+
+from aiohttp import web
+import prometheus_client
+import structlog
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.forwarding import placement as placement_lib
+from hibiscuspass.core.forwarding import repeat_budget
+from hibiscuspass.core.forwarding import route_table
+from hibiscuspass.core.prepaid import book as book_lib
+from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.gateway import answers
+from hibiscuspass.gateway import backend_follower
+from hibiscuspass.gateway import config_follower
+from hibiscuspass.gateway import dispatch
+from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import fleet_key as fleet_key_lib
+from hibiscuspass.gateway import follower
+from hibiscuspass.gateway import forwarder as forwarder_lib
+from hibiscuspass.gateway import gateway_metrics
+from hibiscuspass.gateway import intake
+from hibiscuspass.gateway import listener
+from hibiscuspass.gateway import prepaid_runtime
+from hibiscuspass.gateway import upstream as upstream_lib
+from hibiscuspass.peers import pynng_transport
+from hibiscuspass.platform import operator_config
+from hibiscuspass.platform import server_list
+from hibiscuspass.platform import store as store_lib
+from hibiscuspass.settings import gateway as settings_lib
+from hibiscuspass.telemetry import recorder as recorder_lib
+
+_log = structlog.get_logger(__name__)
+
+# Requests that arrive this long after SIGTERM are refused as not run, since
+# the balancer has had time to choose other routers.
+_ACCEPT_AFTER_STOP_S = 3.0
+# Time kept at the end of the grace period for returning prepaid tokens.
+_CLOSING_S = 1.0
+_RETRY_AFTER_S = 0.3
+# A poll ends before the loss of its connection would outlast a bound.
+_POLL_SHARE = 0.5
+
+
+class GatewayProcess:
+    """Wires the parts together and runs them."""
+
+    def __init__(self, cfg: settings_lib.GatewaySettings) -> None:
+        self._cfg = cfg
+        self.process = incarnation.Incarnation(
+            cfg.process.name, os.urandom(6).hex()
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping_since_s: float | None = None
+        self._in_progress = 0
+        self._metrics = gateway_metrics.GatewayMetrics(
+            prometheus_client.CollectorRegistry()
+        )
+
+    async def start(self) -> None:
+        """Starts to listen and to follow the store."""
+        cfg = self._cfg
+        self._store = store_lib.make_store(cfg.store)
+        self._config = config_follower.ConfigFollower(
+            operator_config.KEY, operator_config.decode, self._on_table
+        )
+        self._servers = backend_follower.BackendFollower(
+            server_list.PREFIX, server_list.decode
+        )
+        self._fleet = fleet_lib.Fleet(self.process, self._store)
+        self._book = book_lib.Book(
+            self.process, cfg.listen.peers, draw_policy.DrawConfig()
+        )
+        self._upstream = upstream_lib.Upstream()
+        self._prepaid: prepaid_runtime.PrepaidRuntime | None = None
+        self._forwarder: forwarder_lib.Forwarder | None = None
+        self._transport: pynng_transport.PynngTransport | None = None
+        self._server = listener.Listener(
+            self._on_request, lambda: self._is_ready, self._metrics.registry
+        )
+        await self._server.start(cfg.listen)
+        wait_s = cfg.contact_ms / 1000 * _POLL_SHARE
+        self._spawn(
+            follower.Follower(
+                self._store, operator_config.PREFIX, self._config, wait_s
+            ).run()
+        )
+        self._spawn(
+            follower.Follower(
+                self._store, server_list.PREFIX, self._servers, wait_s
+            ).run()
+        )
+        self._spawn(self._join_fleet())
+        _log.info("started", process=str(self.process))
+
+    async def stop(self) -> None:
+        """Stops gracefully within the grace period."""
+        now_s = time.monotonic()
+        self._stopping_since_s = now_s
+        _log.info("stopping", in_progress=self._in_progress)
+        end_s = now_s + self._cfg.grace_s - _CLOSING_S
+        accept_until_s = min(now_s + _ACCEPT_AFTER_STOP_S, end_s)
+        while time.monotonic() < end_s:
+            await asyncio.sleep(0.05)
+            if time.monotonic() > accept_until_s and not self._in_progress:
+                break
+        if self._prepaid:
+            await self._prepaid.close()
+        await self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._transport:
+            await self._transport.close()
+        await self._upstream.close()
+        await self._store.close()
+        _log.info("stopped", in_progress=self._in_progress)
+
+    @property
+    def _is_ready(self) -> bool:
+        return (
+            self._stopping_since_s is None
+            and self._config.table is not None
+            and self._servers.is_loaded
+            and self._forwarder is not None
+        )
+
+    async def _join_fleet(self) -> None:
+        cfg = self._cfg
+        key = await fleet_key_lib.obtain(self._store)
+        recorder = recorder_lib.Recorder(self.process, capacity=1)
+        self._transport = pynng_transport.make_transport(
+            self.process, cfg.listen.peers, key, recorder, max_handlers=16
+        )
+        self._prepaid = prepaid_runtime.PrepaidRuntime(
+            self._book, self._store, self._transport, self._fleet
+        )
+        await self._transport.start()
+        seed = int.from_bytes(
+            hashlib.blake2b(str(self.process).encode(), digest_size=8).digest()
+        )
+        dispatcher = dispatch.Dispatcher(
+            self._upstream,
+            self._servers.backends,
+            placement_lib.make_placement(
+                placement_lib.PlacementConfig(cfg.process.failure_domain), seed
+            ),
+            repeat_budget.RepeatConfig(
+                cfg.repeats.ratio, cfg.repeats.slack, cfg.repeats.window_s
+            ),
+            lambda: self._config.table,
+            lambda: self._fleet.size,
+        )
+        self._forwarder = forwarder_lib.Forwarder(
+            self._prepaid, dispatcher, self._metrics
+        )
+        self._spawn(self._fleet.run())
+        self._spawn(self._prepaid.run())
+
+    def _on_table(self, table: route_table.RouteTable) -> None:
+        self._book.on_prepaid(
+            {
+                w.name: w.prepaid
+                for w in table.workspaces.values()
+                if w.prepaid is not None
+            }
+        )
+        self._book.routers = self._fleet.size
+
+    async def _on_request(self, http: web.BaseRequest) -> web.StreamResponse:
+        self._in_progress += 1
+        try:
+            response = await self._answer(http)
+        finally:
+            self._in_progress -= 1
+        if self._stopping_since_s is not None and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
+        now_s = time.monotonic()
+        table = self._config.table
+        if table is None or self._forwarder is None:
+            return answers.make_answer(
+                refusal.Refusal(
+                    reason_lib.Reason.NOT_READY,
+                    "no configuration yet",
+                    retry_after_s=_RETRY_AFTER_S,
+                )
+            )
+        stopping = self._stopping_since_s
+        if stopping is not None and now_s > stopping + _ACCEPT_AFTER_STOP_S:
+            return answers.make_answer(
+                refusal.Refusal(
+                    reason_lib.Reason.SHUTTING_DOWN,
+                    "this router stops",
+                    retry_after_s=_RETRY_AFTER_S,
+                )
+            )
+        call = await intake.read_call(http, table, now_s)
+        if isinstance(call, refusal.Refusal):
+            _log.info(
+                "rejected",
+                request=http.headers.get("X-Attempt-Id"),
+                reason=call.reason.value,
+                detail=call.detail,
+                version=table.version,
+            )
+            return answers.make_answer(call)
+        return await self._forwarder.forward(http, call)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_on_done)
+        self._tasks.append(task)
+
+
+def _on_done(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    exc = task.exception()
+    if exc is not None:
+        _log.error("background task failed", exc_info=exc)
+        # A process without one of its parts keeps no promise.
+        os._exit(1)
--- /dev/null
+++ b/hibiscuspass/gateway/upstream.py
@@ -0,0 +1,172 @@
+"""Sends requests to backend servers and judges the heads of their answers."""
+
+import asyncio
+from http import HTTPStatus
+import time
+
+import aiohttp
+import attrs
+import yarl
+
+from hibiscuspass.backends import sockets
+from hibiscuspass.core import run_state
+from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.gateway import call as call_lib
+from hibiscuspass.platform import headers as names
+
+# Longest time to wait for a connection; further bounded by a part of the
+# remaining time, so that another server can still be tried.
+_CONNECT_TIMEOUT_S = 1.0
+_CONNECT_SHARE = 1 / 3
+# Idle connections are closed before backend servers close them.
+_IDLE_S = 4.0
+# Statuses that promise a caller that the request did not run.
+_PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+_NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+@attrs.frozen
+class Failure:
+    """A send that gave no answer for the caller.
+
+    Attributes:
+      run: Whether the backend server may have run the request.
+      detail: What happened.
+      is_leaving: Whether the server said that it is not, or no longer, the
+        one that was meant.
+      is_busy: Whether the server refused the request because it was full.
+    """
+
+    run: run_state.RunState
+    detail: str
+    is_leaving: bool = False
+    is_busy: bool = False
+
+
+class Upstream:
+    """HTTP client for backend servers."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=_IDLE_S,
+                use_dns_cache=False,
+                socket_factory=sockets.make_socket,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_NO_AUTO_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+        # The library would send GET requests again after a lost connection,
+        # although routes decide what may be repeated.
+        self._session._retry_connection = False
+
+    async def send(
+        self,
+        call: call_lib.Call,
+        backend: backend_lib.Backend,
+        *,
+        last_event_id: str | None = None,
+    ) -> aiohttp.ClientResponse | Failure:
+        """Sends a request and waits for the head of the answer.
+
+        Args:
+          call: Request of the caller.
+          backend: Backend server.
+          last_event_id: Event after which a stream goes on.
+        """
+        left_s = call.req.deadline_s - time.monotonic()
+        if left_s <= 0:
+            return Failure(run_state.RunState.NO, "no time left")
+        headers = call.headers.copy()
+        headers[names.DEADLINE_MS] = str(max(1, int(left_s * 1000)))
+        headers[names.EXPECTED_BACKEND] = backend.backend_id
+        if last_event_id is not None:
+            headers[names.LAST_EVENT_ID] = last_event_id
+        try:
+            resp = await self._session.request(
+                call.method,
+                yarl.URL(
+                    f"http://{backend.address}{call.target}", encoded=True
+                ),
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=min(
+                        _CONNECT_TIMEOUT_S, left_s * _CONNECT_SHARE
+                    ),
+                ),
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            return Failure(run_state.RunState.NO, f"connect: {exc}")
+        except (
+            aiohttp.ClientError,
+            OSError,
+            asyncio.IncompleteReadError,
+        ) as exc:
+            return Failure(
+                run_state.RunState.UNKNOWN, f"{type(exc).__name__}: {exc}"
+            )
+        failure = _judge(call, resp)
+        if failure is None:
+            return resp
+        # Only a whole short refusal leaves the connection in a known state.
+        await _discard(resp, reusable=failure.run is run_state.RunState.NO)
+        return failure
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+
+def _judge(call: call_lib.Call, resp: aiohttp.ClientResponse) -> Failure | None:
+    """Returns why an answer must not reach the caller; None if it may."""
+    unknown = run_state.RunState.UNKNOWN
+    if resp.headers.get(names.ATTEMPT_ID) != call.req.attempt_id:
+        not_executed = names.NOT_EXECUTED in resp.headers
+        echoed = resp.headers.get(names.ATTEMPT_ID)
+        if not not_executed or echoed is not None:
+            return Failure(unknown, f"answer to another request: {echoed!r}")
+    if (
+        names.NOT_EXECUTED in resp.headers
+        or resp.status == HTTPStatus.MISDIRECTED_REQUEST
+    ):
+        return Failure(
+            run_state.RunState.NO,
+            f"not executed: status {resp.status}",
+            is_leaving=resp.status == HTTPStatus.MISDIRECTED_REQUEST,
+            is_busy=resp.status != HTTPStatus.MISDIRECTED_REQUEST,
+        )
+    if resp.status in _PROMISES:
+        return Failure(unknown, f"status {resp.status} without a proof")
+    succeeded = HTTPStatus.OK <= resp.status < HTTPStatus.MULTIPLE_CHOICES
+    if succeeded and names.STAMP not in resp.headers:
+        return Failure(unknown, "success without a signature")
+    if "Content-Encoding" in resp.headers:
+        return Failure(unknown, "encoded body")
+    return None
+
+
+async def _discard(resp: aiohttp.ClientResponse, *, reusable: bool) -> None:
+    if reusable:
+        try:
+            async with asyncio.timeout(0.2):
+                await resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            reusable = False
+    if not reusable:
+        resp.close()
--- /dev/null
+++ b/hibiscuspass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/hibiscuspass/platform/headers.py
@@ -0,0 +1,43 @@
+"""Header names on the platform, with what each holds.
+
+Source: the platform's protocol page, "Requests", "Answers" and "Runners".
+"""
+
+# Id of one attempt of a caller; echoed by backend servers.
+ATTEMPT_ID = "X-Attempt-Id"
+# Milliseconds that the sender still waits.
+DEADLINE_MS = "X-Deadline-Ms"
+# Prompt tokens and largest number of output tokens, separated by a comma.
+TOKEN_COUNTS = "X-Token-Counts"
+# Parts of the prompt in order, as ID:TOKENS separated by commas.
+PROMPT_PREFIX = "X-Prompt-Prefix"
+# Id of the backend server that is meant; another one answers 421.
+EXPECTED_BACKEND = "X-Expect-Instance"
+# Workspace of the caller's key, set for the backend server.
+WORKSPACE = "X-Tenant"
+# Signature of the backend server that made the answer.
+STAMP = "X-Server-Stamp"
+# Present on answers to requests that were not run.
+NOT_EXECUTED = "X-Not-Executed"
+# Urgency at an engine, 0 (first) to 9; 5 if absent.
+URGENCY = "X-Urgency"
+# Id of the last event that the caller has.
+LAST_EVENT_ID = "Last-Event-ID"
+
+# Headers that only the system may set on requests to backend servers.
+RESERVED = frozenset(
+    name.lower()
+    for name in (
+        "X-Hold",
+        "X-Pin-Ms",
+        "X-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        URGENCY,
+        EXPECTED_BACKEND,
+        "X-Expect-Version",
+        WORKSPACE,
+        DEADLINE_MS,
+        "Authorization",
+    )
+)
--- /dev/null
+++ b/hibiscuspass/platform/store.py
@@ -0,0 +1,203 @@
+"""Client of the platform's metadata store.
+
+Source: the platform's protocol page, "The platform's metadata store".
+"""
+
+import asyncio
+import base64
+from collections.abc import Mapping
+from collections.abc import Sequence
+from http import HTTPStatus
+import json
+from typing import Any
+
+import aiohttp
+import structlog
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.backends import sockets
+from hibiscuspass.backends import txn_store
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+
+_log = structlog.get_logger(__name__)
+
+_NOT_DONE = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+# A 410 says that the requested part of the history was discarded.
+_HISTORY_GONE = HTTPStatus.GONE
+
+
+class StoreClient(txn_store.TxnStore):
+    """Calls the store over HTTP/1.1 with JSON bodies."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, socket_factory=sockets.make_socket
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def get(
+        self, key: str, *, timeout_s: float
+    ) -> kv_store.ReadResult | refusal.Refusal:
+        """See base class."""
+        reply = await self._call("GET", "/v1/kv-key", timeout_s, {"key": key})
+        if isinstance(reply, refusal.Refusal):
+            return reply
+        status, body = reply
+        if status == HTTPStatus.NOT_FOUND:
+            return kv_store.ReadResult((), int(body.get("current_rev", 0)))
+        if status != HTTPStatus.OK:
+            return _unexpected("kv-key", status)
+        return kv_store.ReadResult((_item(body),), int(body["current_rev"]))
+
+    async def get_prefix(
+        self, prefix: str, *, timeout_s: float, stale_ok: bool = False
+    ) -> kv_store.ReadResult | refusal.Refusal:
+        """See base class; the revision is that of the first page."""
+        query = {"path_prefix": prefix}
+        if stale_ok:
+            query["serializable"] = "1"
+        entries: list[kv_store.KeyValue] = []
+        revision: int | None = None
+        while True:
+            reply = await self._call("GET", "/v1/kv-range", timeout_s, query)
+            if isinstance(reply, refusal.Refusal):
+                return reply
+            status, body = reply
+            if status != HTTPStatus.OK:
+                return _unexpected("kv-range", status)
+            entries += map(_item, body["items"])
+            # Pages are not a snapshot; changes since the first page are
+            # read again by the poll that follows.
+            revision = body["current_rev"] if revision is None else revision
+            if not body.get("more_pages") or not body["items"]:
+                return kv_store.ReadResult(tuple(entries), int(revision or 0))
+            query["after"] = entries[-1].key
+
+    async def poll(
+        self, prefix: str, after: int, *, wait_s: float, timeout_s: float
+    ) -> txn_store.Changes | refusal.Refusal:
+        """See base class."""
+        query = {
+            "path_prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(round(wait_s * 1000)),
+        }
+        reply = await self._call("GET", "/v1/kv-watch", timeout_s, query)
+        if isinstance(reply, refusal.Refusal):
+            return reply
+        status, body = reply
+        if status == _HISTORY_GONE:
+            return refusal.Refusal(
+                reason_lib.Reason.STALE, f"history after {after} is gone"
+            )
+        if status != HTTPStatus.OK:
+            return _unexpected("kv-watch", status)
+        events = tuple(map(_event, body.get("events", ())))
+        return txn_store.Changes(events, int(body["current_rev"]))
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        deletes: Sequence[str] = (),
+        *,
+        timeout_s: float,
+    ) -> txn_store.Committed | txn_store.Conflict | refusal.Refusal:
+        """See base class."""
+        body = {
+            "expected_rev": [
+                {"key": key, "revision": rev} for key, rev in expected.items()
+            ],
+            "writes": [
+                {"key": key, "value": base64.b64encode(value).decode()}
+                for key, value in writes.items()
+            ],
+            "remove": list(deletes),
+        }
+        reply = await self._call("POST", "/v1/kv-txn", timeout_s, body=body)
+        if isinstance(reply, refusal.Refusal):
+            return reply
+        status, answer = reply
+        if status == HTTPStatus.OK:
+            return txn_store.Committed(int(answer["revision"]))
+        if status == HTTPStatus.PRECONDITION_FAILED:
+            items = [
+                _item(i) for i in answer.get("items", ()) if i.get("revision")
+            ]
+            return txn_store.Conflict({i.key: i for i in items})
+        return _unexpected("kv-txn", status)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        query: Mapping[str, str] | None = None,
+        *,
+        body: object = None,
+    ) -> tuple[int, Any] | refusal.Refusal:
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.request(
+                    method,
+                    self._base + path,
+                    params=query,
+                    data=data,
+                    headers={"Content-Type": "application/json"},
+                ) as resp,
+            ):
+                text = await resp.read()
+                if resp.status in _NOT_DONE:
+                    return refusal.Refusal(
+                        reason_lib.Reason.UNAVAILABLE,
+                        f"{path}: status {resp.status}",
+                    )
+                return resp.status, json.loads(text) if text else {}
+        except aiohttp.ClientConnectorError as exc:
+            return refusal.Refusal(
+                reason_lib.Reason.UNAVAILABLE, f"{path}: {exc}"
+            )
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+            return refusal.Refusal(
+                reason_lib.Reason.TIMEOUT, f"{path}: {exc or 'no reply'}"
+            )
+
+
+def _unexpected(call: str, status: int) -> refusal.Refusal:
+    _log.warning("unexpected answer of the store", call=call, status=status)
+    return refusal.Refusal(
+        reason_lib.Reason.TIMEOUT, f"{call}: status {status}"
+    )
+
+
+def _item(data: Mapping[str, Any]) -> kv_store.KeyValue:
+    value = data.get("value") or ""
+    return kv_store.KeyValue(
+        str(data["key"]), base64.b64decode(value), int(data["revision"])
+    )
+
+
+def _event(data: Mapping[str, Any]) -> kv_store.WatchEvent:
+    if data.get("tombstone"):
+        return kv_store.WatchEvent(data["key"], None, int(data["revision"]))
+    item = _item(data)
+    return kv_store.WatchEvent(item.key, item.value, item.revision)
+
+
+def make_store(address: str) -> StoreClient:
+    """Makes the client of one process.
+
+    Args:
+      address: `host:port` of the store.
+    """
+    return StoreClient(address)
