Place prompts by expected time to the first event

Ruled out: pauses between events (29 over 400 ms) and the search for prepaid tokens.

Routers now tell each other of prompts of 1,000 tokens and more as they send them, and compare engines by the work ahead and the prompt tokens to read. Draws follow a slower estimate of use, and regular returns are rare.

--- /dev/null
+++ b/hibiscuspass/core/forwarding/least_in_flight.py
@@ -0,0 +1,74 @@
+"""Placement on plain servers: the fewest own requests in progress.
+
+Load pattern: short calls, servers with few slots, several routers that see
+only their own calls.
+"""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import placement
+from hibiscuspass.core.forwarding import request as request_lib
+
+
+class LeastInFlight(placement.Placement):
+    """Fewest own requests per slot; ties go to the own failure domain."""
+
+    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._in_flight: dict[str, int] = {}
+
+    def choose(
+        self,
+        req: request_lib.ForwardRequest,
+        candidates: Sequence[backend_lib.Backend],
+        now_s: float,
+    ) -> placement.Choice:
+        """See base class."""
+        return placement.Choice(min(candidates, key=self._preference))
+
+    def on_sent(
+        self,
+        req: request_lib.ForwardRequest,
+        choice: placement.Choice,
+        now_s: float,
+    ) -> None:
+        """See base class."""
+        backend_id = choice.backend.backend_id
+        self._in_flight[backend_id] = self._in_flight.get(backend_id, 0) + 1
+
+    def on_first_event(
+        self, choice: placement.Choice, elapsed_s: float, now_s: float
+    ) -> None:
+        """See base class."""
+
+    def on_ended(self, choice: placement.Choice) -> None:
+        """See base class."""
+        backend_id = choice.backend.backend_id
+        left = self._in_flight.get(backend_id, 0) - 1
+        if left > 0:
+            self._in_flight[backend_id] = left
+        else:
+            self._in_flight.pop(backend_id, None)
+
+    def on_peer_sent(
+        self,
+        backend_id: str,
+        parts: Sequence[request_lib.PromptPart],
+        new_tokens: int,
+        now_s: float,
+    ) -> None:
+        """See base class."""
+
+    def retain(self, backend_ids: Collection[str]) -> None:
+        """See base class."""
+
+    def _preference(
+        self, backend: backend_lib.Backend
+    ) -> tuple[float, bool, float]:
+        load = self._in_flight.get(backend.backend_id, 0)
+        remote = backend.failure_domain != self._failure_domain
+        return load / max(1, backend.slots), remote, self._rng.random()
--- /dev/null
+++ b/hibiscuspass/core/forwarding/placements.py
@@ -0,0 +1,96 @@
+"""Placement on the servers of all services, with ejection of failing ones."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import least_in_flight
+from hibiscuspass.core.forwarding import placement
+from hibiscuspass.core.forwarding import prompt_cost
+from hibiscuspass.core.forwarding import request as request_lib
+from hibiscuspass.core.forwarding import route as route_lib
+from hibiscuspass.core.retry import ejection as ejection_lib
+
+_EJECTION = ejection_lib.EjectionConfig(
+    consecutive_failures=3, base_s=1.0, max_s=8.0, ramp_s=2.0
+)
+
+# Makes the placement of a service; None stands for plain servers.
+Factory = Callable[[route_lib.Engine | None], placement.Placement]
+
+# Returns the service of a name, if the configuration has it.
+ServiceLookup = Callable[[str], route_lib.Service | None]
+
+
+class Placements:
+    """One placement a service, and the failures of all servers."""
+
+    def __init__(self, make: Factory, rng: random.Random) -> None:
+        self._make = make
+        self._rng = rng
+        self._ejection = ejection_lib.EjectionTracker(_EJECTION, rng)
+        self._placements: dict[str, placement.Placement] = {}
+
+    def of(self, service: route_lib.Service) -> placement.Placement:
+        """Returns the placement of a service."""
+        found = self._placements.get(service.name)
+        if found is None:
+            found = self._make(service.engine)
+            self._placements[service.name] = found
+        return found
+
+    def retain(self, backends: Sequence[backend_lib.Backend]) -> None:
+        """Forgets all servers but the known ones."""
+        ids = [b.backend_id for b in backends]
+        self._ejection.retain(ids)
+        for each in self._placements.values():
+            each.retain(ids)
+
+    def choose(
+        self,
+        service: route_lib.Service,
+        req: request_lib.ForwardRequest,
+        candidates: Sequence[backend_lib.Backend],
+        excluded: Collection[str],
+        now_s: float,
+    ) -> placement.Choice | None:
+        """Returns the server to send to; None if there is none."""
+        usable = [b for b in candidates if b.backend_id not in excluded]
+        sound = [
+            b
+            for b in usable
+            if self._rng.random() < self._ejection.weight(b.backend_id, now_s)
+        ]
+        if not usable:
+            return None
+        return self.of(service).choose(req, sound or usable, now_s)
+
+    def on_result(
+        self, backend_id: str, *, succeeded: bool, now_s: float
+    ) -> None:
+        """Records whether a server answered soundly."""
+        if succeeded:
+            self._ejection.on_success(backend_id, now_s)
+        else:
+            self._ejection.on_failure(backend_id, now_s)
+
+
+def make_placements(failure_domain: str, seed: int) -> Placements:
+    """Makes the placements of one router.
+
+    Args:
+      failure_domain: Failure domain of the router.
+      seed: Seed of the random choices; differs between routers.
+    """
+    rng = random.Random(seed)
+
+    def make(engine: route_lib.Engine | None) -> placement.Placement:
+        if engine is None:
+            return least_in_flight.LeastInFlight(failure_domain, rng)
+        return prompt_cost.PromptCost(
+            prompt_cost.PromptCostConfig(), failure_domain, rng, engine
+        )
+
+    return Placements(make, rng)
--- /dev/null
+++ b/hibiscuspass/core/forwarding/prompt_cost.py
@@ -0,0 +1,185 @@
+"""Placement on engines: the shortest expected time to the first event.
+
+Load pattern: prompts of very different lengths share parts, and a long one
+delays all that come after it on the same engine. Routers tell each other of
+long prompts as they send them, so that two of them don't meet on one engine
+while others are idle.
+"""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+import attrs
+
+from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import placement
+from hibiscuspass.core.forwarding import prompt_memory
+from hibiscuspass.core.forwarding import request as request_lib
+from hibiscuspass.core.forwarding import route as route_lib
+
+
+@attrs.frozen
+class PromptCostConfig:
+    """How engines are compared.
+
+    Attributes:
+      first_rate: Prompt tokens per second that an engine is assumed to read
+        before any answer was seen.
+      rate_weight: Weight of a new observation in the reading rate.
+      memory_share: Part of an engine's memory that keeps prompts of the past.
+      read_weight: Cost of reading a token again beside the request's own wait,
+        since it delays the requests that follow.
+      request_s: Cost of one own request in progress, in seconds.
+      near_s: Difference in expected time that makes no difference.
+    """
+
+    first_rate: float = 20_000.0
+    rate_weight: float = 0.1
+    memory_share: float = 0.6
+    read_weight: float = 1.0
+    request_s: float = 0.002
+    near_s: float = 0.005
+
+
+@attrs.define
+class _EngineState:
+    memory: prompt_memory.PromptMemory
+    busy_until_s: float = 0.0
+    slowness: float = 1.0
+    in_flight: int = 0
+
+
+class PromptCost(placement.Placement):
+    """Compares the work ahead of a request and its own on all engines."""
+
+    def __init__(
+        self,
+        cfg: PromptCostConfig,
+        failure_domain: str,
+        rng: random.Random,
+        engine: route_lib.Engine,
+    ) -> None:
+        self._cfg = cfg
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._capacity = int(cfg.memory_share * engine.kv_capacity)
+        self._rate = cfg.first_rate
+        self._engines: dict[str, _EngineState] = {}
+
+    def choose(
+        self,
+        req: request_lib.ForwardRequest,
+        candidates: Sequence[backend_lib.Backend],
+        now_s: float,
+    ) -> placement.Choice:
+        """See base class."""
+        costs = [(self._cost(req, b, now_s), b) for b in candidates]
+        least = min(cost for cost, _ in costs)
+        near = [b for cost, b in costs if cost <= least + self._cfg.near_s]
+        local = [b for b in near if b.failure_domain == self._failure_domain]
+        backend = self._rng.choice(local or near)
+        state = self._state(backend.backend_id)
+        new_tokens = self._new_tokens(req, state)
+        expected_s = self._wait_s(state, now_s) + self._read_s(
+            new_tokens, state
+        )
+        return placement.Choice(backend, new_tokens, expected_s)
+
+    def on_sent(
+        self,
+        req: request_lib.ForwardRequest,
+        choice: placement.Choice,
+        now_s: float,
+    ) -> None:
+        """See base class."""
+        state = self._state(choice.backend.backend_id)
+        state.in_flight += 1
+        self._add_work(state, req.prompt_parts, choice.new_tokens, now_s)
+
+    def on_first_event(
+        self, choice: placement.Choice, elapsed_s: float, now_s: float
+    ) -> None:
+        """See base class."""
+        state = self._state(choice.backend.backend_id)
+        weight = self._cfg.rate_weight
+        if choice.expected_s > 0:
+            ratio = elapsed_s / choice.expected_s
+            state.slowness += weight * (min(4.0, ratio) - state.slowness)
+            state.slowness = max(0.5, state.slowness)
+        if choice.new_tokens and elapsed_s > 0:
+            rate = choice.new_tokens / elapsed_s
+            # Waiting time makes a reading look slow, so higher rates count
+            # more.
+            gain = weight if rate > self._rate else weight / 8
+            self._rate += gain * (rate - self._rate)
+
+    def on_ended(self, choice: placement.Choice) -> None:
+        """See base class."""
+        state = self._engines.get(choice.backend.backend_id)
+        if state is not None:
+            state.in_flight = max(0, state.in_flight - 1)
+
+    def on_peer_sent(
+        self,
+        backend_id: str,
+        parts: Sequence[request_lib.PromptPart],
+        new_tokens: int,
+        now_s: float,
+    ) -> None:
+        """See base class."""
+        self._add_work(self._state(backend_id), parts, new_tokens, now_s)
+
+    def retain(self, backend_ids: Collection[str]) -> None:
+        """See base class."""
+        known = frozenset(backend_ids)
+        self._engines = {
+            name: state
+            for name, state in self._engines.items()
+            if name in known
+        }
+
+    def _state(self, backend_id: str) -> _EngineState:
+        state = self._engines.get(backend_id)
+        if state is None:
+            state = _EngineState(prompt_memory.PromptMemory(self._capacity))
+            self._engines[backend_id] = state
+        return state
+
+    def _cost(
+        self,
+        req: request_lib.ForwardRequest,
+        backend: backend_lib.Backend,
+        now_s: float,
+    ) -> float:
+        state = self._state(backend.backend_id)
+        read_s = self._read_s(self._new_tokens(req, state), state)
+        return (
+            self._wait_s(state, now_s)
+            + (1.0 + self._cfg.read_weight) * read_s
+            + self._cfg.request_s * state.in_flight
+        )
+
+    def _add_work(
+        self,
+        state: _EngineState,
+        parts: Sequence[request_lib.PromptPart],
+        new_tokens: int,
+        now_s: float,
+    ) -> None:
+        state.memory.on_read(parts)
+        state.busy_until_s = max(now_s, state.busy_until_s) + self._read_s(
+            new_tokens, state
+        )
+
+    def _new_tokens(
+        self, req: request_lib.ForwardRequest, state: _EngineState
+    ) -> int:
+        kept = state.memory.kept_tokens(req.prompt_parts)
+        return max(0, req.input_tokens - kept)
+
+    def _read_s(self, tokens: int, state: _EngineState) -> float:
+        return state.slowness * tokens / self._rate
+
+    def _wait_s(self, state: _EngineState, now_s: float) -> float:
+        return max(0.0, state.busy_until_s - now_s)
--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -10,12 +10,20 @@
 from hibiscuspass.core.prepaid import messages
 from hibiscuspass.core.prepaid import store_share
 
+# Weight of the newest request in the size of a typical one.
+_TYPICAL_WEIGHT = 0.2
+
 
 @attrs.define
 class _Entry:
     account: account.Account
     rate: draw_policy.UseRate
-    used_before: bool = False
+    typical: float = 0.0
+
+    def on_request(self, tokens: int, now_s: float) -> None:
+        self.rate.add(tokens, now_s)
+        weight = _TYPICAL_WEIGHT if self.typical else 1.0
+        self.typical += weight * (tokens - self.typical)
 
 
 @attrs.define
@@ -78,8 +86,7 @@
         entry = self._entry(workspace, now_s)
         if not entry.account.hold(tokens):
             return None
-        entry.used_before = True
-        entry.rate.add(tokens, now_s)
+        entry.on_request(tokens, now_s)
         return Hold(workspace, tokens)
 
     def settle(self, hold: Hold, used: int, now_s: float) -> None:
@@ -144,11 +151,7 @@
     def urgent_draw(self, workspace: str, tokens: int, now_s: float) -> int:
         """Returns the draw that gives a request room; 0 if there is none."""
         position = self._position(workspace, now_s)
-        missing = tokens - position.available
-        if not 0 < missing <= position.undrawn:
-            return 0
-        regular = draw_policy.planned_change(position, self._cfg)
-        return min(position.undrawn, max(missing, regular))
+        return draw_policy.urgent_draw(position, tokens, self._cfg)
 
     def surplus(self) -> dict[str, int]:
         """Returns the changes that return everything available."""
@@ -178,7 +181,7 @@
             drawn_by_all=self.share.total(workspace),
             available=entry.account.available,
             rate_per_s=entry.rate.per_s(now_s),
-            used_before=entry.used_before,
+            typical=round(entry.typical),
             routers=self.routers,
         )
 
@@ -187,7 +190,15 @@
         if entry is None:
             entry = _Entry(
                 account.Account(),
-                draw_policy.UseRate(self._cfg.rate_memory_s, now_s),
+                draw_policy.UseRate(
+                    self._cfg.rate_memory_s,
+                    now_s,
+                    draw_policy.first_rate(
+                        self._prepaid.get(workspace, 0),
+                        self.routers,
+                        self._cfg,
+                    ),
+                ),
             )
             self._entries[workspace] = entry
         return entry
--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -3,7 +3,7 @@
 Load pattern: the store is out of reach of some or all routers for up to
 `outage_s` while callers keep sending, and any router may be lost with what it
 holds. Each router therefore holds about `outage_s` of its own use, and only a
-bounded part of what remains.
+bounded part of what remains. What one router lacks, its peers lend.
 """
 
 import math
@@ -26,21 +26,23 @@
       rate_memory_s: Time constant of the estimate of use, in seconds.
     """
 
-    outage_s: float = 10.0
-    first_share: float = 0.25
+    outage_s: float = 14.0
+    first_share: float = 0.3
     rest_share: float = 0.7
-    refill_below: float = 0.6
+    refill_below: float = 0.8
     return_above: float = 3.0
-    rate_memory_s: float = 5.0
+    rate_memory_s: float = 10.0
 
 
 class UseRate:
     """Tokens per second that a workspace uses at this router."""
 
-    def __init__(self, memory_s: float, now_s: float) -> None:
+    def __init__(
+        self, memory_s: float, now_s: float, first_per_s: float
+    ) -> None:
         self._memory_s = memory_s
         self._updated_s = now_s
-        self._rate = 0.0
+        self._rate = first_per_s
 
     def add(self, tokens: int, now_s: float) -> None:
         """Records use."""
@@ -50,7 +52,7 @@
     def per_s(self, now_s: float) -> float:
         """Returns the present rate."""
         self._decay(now_s)
-        return self._rate
+        return max(0.0, self._rate)
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
@@ -67,7 +69,7 @@
       drawn_by_all: Last known total of all routers' draws.
       available: Tokens available at this router.
       rate_per_s: Tokens per second used at this router.
-      used_before: Whether this router has served the workspace.
+      typical: Tokens of a typical request; 0 before the first one.
       routers: Number of routers that are alive.
     """
 
@@ -75,7 +77,7 @@
     drawn_by_all: int
     available: int
     rate_per_s: float
-    used_before: bool
+    typical: int
     routers: int
 
     @property
@@ -84,34 +86,50 @@
         return max(0, self.prepaid - self.drawn_by_all)
 
 
+def first_rate(prepaid: int, routers: int, cfg: DrawConfig) -> float:
+    """Returns the rate of use assumed before any use is known."""
+    return cfg.first_share * prepaid / max(1, routers) / cfg.outage_s
+
+
 def goal(position: Position, cfg: DrawConfig) -> int:
     """Returns how many tokens the router should have available."""
-    routers = max(1, position.routers)
     rest = position.undrawn + max(0, position.available)
-    bound = cfg.rest_share * rest / routers
-    if not position.used_before:
-        bound = min(bound, cfg.first_share * position.prepaid / routers)
-        return int(bound)
     # A router with more than its even share of the use may hold up to twice
     # the even bound.
-    return int(min(2.0 * bound, cfg.outage_s * position.rate_per_s))
+    bound = 2.0 * cfg.rest_share * rest / max(1, position.routers)
+    return int(min(bound, cfg.outage_s * position.rate_per_s))
 
 
 def planned_change(position: Position, cfg: DrawConfig) -> int:
     """Returns the tokens to draw (positive) or to return (negative)."""
-    if position.drawn_by_all > position.prepaid:
-        return -max(
-            0,
-            min(position.available, position.drawn_by_all - position.prepaid),
-        )
+    excess = position.drawn_by_all - position.prepaid
+    if excess > 0:
+        return -max(0, min(position.available, excess))
     wanted = goal(position, cfg)
+    missing = min(position.undrawn, wanted - position.available)
     if position.available < cfg.refill_below * wanted:
-        return min(position.undrawn, wanted - position.available)
-    if position.used_before and position.available > cfg.return_above * wanted:
-        surplus = position.available - wanted
-        # Small returns cost more calls than they are worth.
-        if surplus > cfg.rest_share * position.undrawn / max(
-            1, position.routers
-        ):
-            return -surplus
+        # Smaller draws are left to the requests that need them.
+        return missing if missing > position.typical else 0
+    surplus = position.available - wanted
+    if position.available > cfg.return_above * wanted:
+        # Tokens at an idle router are lost with it, but can be borrowed; a
+        # return is worth a call only if much of the rest is there.
+        floor = cfg.first_share * position.undrawn / max(1, position.routers)
+        return -surplus if surplus > max(floor, 4 * position.typical) else 0
     return 0
+
+
+def urgent_draw(position: Position, tokens: int, cfg: DrawConfig) -> int:
+    """Returns the draw that gives a request room; 0 if there is none.
+
+    Args:
+      position: State of the workspace.
+      tokens: The most that the request can use.
+      cfg: Sizes of draws.
+    """
+    missing = tokens - position.available
+    if not 0 < missing <= position.undrawn:
+        return 0
+    share = position.undrawn // (2 * max(1, position.routers))
+    ahead = max(goal(position, cfg) - position.available, 0)
+    return min(position.undrawn, missing + min(share, ahead))
--- a/hibiscuspass/core/prepaid/store_record.py
+++ b/hibiscuspass/core/prepaid/store_record.py
@@ -58,6 +58,13 @@
     return incarnation.parse(key.removeprefix(ROUTER_PREFIX))
 
 
+def is_earlier_start(key: str, process: incarnation.Incarnation) -> bool:
+    """Returns whether a key is of another start of the same router."""
+    own = router_key(process)
+    name = f"{ROUTER_PREFIX}{process.name}/"
+    return key.startswith(name) and key != own
+
+
 def decode_workspace(data: bytes) -> WorkspaceRecord:
     """Decodes a workspace's record.
 
--- a/hibiscuspass/gateway/call.py
+++ b/hibiscuspass/gateway/call.py
@@ -30,3 +30,10 @@
     route: route_lib.Route
     workspace: route_lib.Workspace | None
     version: int
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 first; the workspace's goes before."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -15,9 +15,13 @@
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.core.forwarding import backend_set
 from hibiscuspass.core.forwarding import placement as placement_lib
+from hibiscuspass.core.forwarding import placements as placements_lib
 from hibiscuspass.core.forwarding import repeat_budget
+from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.gateway import call as call_lib
+from hibiscuspass.gateway import dispatch_news
+from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import upstream as upstream_lib
 
 _log = structlog.get_logger(__name__)
@@ -28,10 +32,19 @@
 
 @attrs.frozen
 class Answer:
-    """An answer of a backend server whose body is not read yet."""
+    """An answer of a backend server whose body is not read yet.
+
+    Attributes:
+      resp: Head and connection of the answer.
+      choice: Where the request was sent.
+      service: Service of the server.
+      sent_s: Time of the send on the monotonic clock.
+    """
 
     resp: aiohttp.ClientResponse
-    backend: backend_lib.Backend
+    choice: placement_lib.Choice
+    service: route_lib.Service
+    sent_s: float
 
 
 class Dispatcher:
@@ -41,18 +54,20 @@
         self,
         upstream: upstream_lib.Upstream,
         backends: backend_set.BackendSet,
-        placement: placement_lib.AffinityPlacement,
+        placements: placements_lib.Placements,
         repeats: repeat_budget.RepeatConfig,
         table: Callable[[], route_table.RouteTable | None],
-        routers: Callable[[], int],
+        fleet: fleet_lib.Fleet,
+        news: dispatch_news.DispatchNews,
     ) -> None:
         self._upstream = upstream
         self._backends = backends
-        self._placement = placement
+        self._placements = placements
         self._repeat_cfg = repeats
         self._repeats: dict[str, repeat_budget.RepeatBudget] = {}
         self._table = table
-        self._routers = routers
+        self._fleet = fleet
+        self._news = news
         self._rng = random.Random()
         self._backends_version = -1
 
@@ -81,12 +96,17 @@
         """
         while True:
             service = self._choose_service(call)
-            backend = self._choose(call, service, tries)
-            refused = self._check_send(call, service, backend, tries)
+            if service is None:
+                return self._give_up(tries, "unknown service")
+            choice = self._choose(call, service, tries)
+            if choice is None:
+                return self._give_up(tries, "no backend server left")
+            refused = self._check_send(service, tries)
             if refused:
                 return refused
-            assert backend is not None
-            outcome = await self._send(call, backend, tries, last_event_id)
+            outcome = await self._send(
+                call, service, choice, tries, last_event_id
+            )
             if isinstance(outcome, Answer):
                 return outcome
             maybe = outcome.run is not run_state.RunState.NO
@@ -97,59 +117,66 @@
                     run_state.RunState.UNKNOWN,
                 )
 
+    def on_first_event(self, answer: Answer) -> None:
+        """Records the first event of an answer."""
+        now_s = time.monotonic()
+        self._placements.of(answer.service).on_first_event(
+            answer.choice, now_s - answer.sent_s, now_s
+        )
+
     def on_ended(self, answer: Answer, *, succeeded: bool) -> None:
         """Records the end of an answer."""
-        failed = not succeeded
-        self._placement.on_ended(
-            answer.backend.backend_id, not failed, time.monotonic()
+        self._placements.of(answer.service).on_ended(answer.choice)
+        self._placements.on_result(
+            answer.choice.backend.backend_id,
+            succeeded=succeeded,
+            now_s=time.monotonic(),
         )
 
-    def _choose_service(self, call: call_lib.Call) -> str:
+    def _choose_service(self, call: call_lib.Call) -> route_lib.Service | None:
+        table = self._table()
         shares = call.route.shares
-        if len(shares) == 1:
-            return shares[0].service
-        return self._rng.choices(
-            [s.service for s in shares], [s.weight for s in shares]
-        )[0]
+        name = shares[0].service
+        if len(shares) > 1:
+            name = self._rng.choices(
+                [s.service for s in shares], [s.weight for s in shares]
+            )[0]
+        return table.services.get(name) if table else None
 
     def _choose(
         self,
         call: call_lib.Call,
-        service: str,
+        service: route_lib.Service,
         tries: attempts_lib.Attempts,
-    ) -> backend_lib.Backend | None:
+    ) -> placement_lib.Choice | None:
         now_s = time.monotonic()
         for backend_id in self._backends.expire(now_s):
             _log.info("backend server did not come back", backend=backend_id)
         if self._backends_version != self._backends.version:
             self._backends_version = self._backends.version
-            self._placement.retain(
-                [b.backend_id for b in self._backends.backends()]
-            )
-        return self._placement.choose(
-            call.req, self._backends.ready(service), tries.tried, now_s
+            self._placements.retain(self._backends.backends())
+        return self._placements.choose(
+            service,
+            call.req,
+            self._backends.ready(service.name),
+            tries.tried,
+            now_s,
         )
 
     def _check_send(
-        self,
-        call: call_lib.Call,
-        service: str,
-        backend: backend_lib.Backend | None,
-        tries: attempts_lib.Attempts,
+        self, service: route_lib.Service, tries: attempts_lib.Attempts
     ) -> refusal.Refusal | None:
         """Returns why a request must not be sent (again)."""
         now_s = time.monotonic()
         budget = self._repeats.setdefault(
-            service, repeat_budget.RepeatBudget(self._repeat_cfg)
+            service.name, repeat_budget.RepeatBudget(self._repeat_cfg)
         )
-        if backend is None:
-            return self._give_up(tries, "no backend server left")
         if not tries.sends:
             budget.on_request(now_s)
             return None
         if len(tries.tried) >= tries.max_attempts:
             return self._give_up(tries, "no attempts left")
-        if not budget.try_repeat(self._routers(), now_s):
+        if not budget.try_repeat(self._fleet.size, now_s):
             return self._give_up(tries, "the repeat budget is used up")
         return None
 
@@ -170,40 +197,53 @@
     async def _send(
         self,
         call: call_lib.Call,
-        backend: backend_lib.Backend,
+        service: route_lib.Service,
+        choice: placement_lib.Choice,
         tries: attempts_lib.Attempts,
         last_event_id: str | None,
     ) -> Answer | upstream_lib.Failure:
+        backend = choice.backend
+        placement = self._placements.of(service)
+        sent_s = time.monotonic()
         tries.on_send(backend.backend_id)
         ran_before = tries.may_have_run
         tries.may_have_run = True
-        self._placement.on_sent(backend.backend_id)
+        placement.on_sent(call.req, choice, sent_s)
+        self._news.announce(service, call.req, choice)
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
             outcome = await self._upstream.send(
                 call, backend, last_event_id=last_event_id
             )
         finally:
-            if outcome is None:
-                self._placement.on_ended(
-                    backend.backend_id, True, time.monotonic()
-                )
+            if not isinstance(outcome, aiohttp.ClientResponse):
+                placement.on_ended(choice)
         if not isinstance(outcome, upstream_lib.Failure):
-            return Answer(outcome, backend)
+            return Answer(outcome, choice, service, sent_s)
         if outcome.run is run_state.RunState.NO:
             tries.may_have_run = ran_before
-        tries.last_failure = outcome.detail
-        self._placement.on_ended(
-            backend.backend_id, outcome.is_busy, time.monotonic()
-        )
-        if outcome.is_leaving:
+        self._on_failure(call, backend, tries, outcome)
+        return outcome
+
+    def _on_failure(
+        self,
+        call: call_lib.Call,
+        backend: backend_lib.Backend,
+        tries: attempts_lib.Attempts,
+        failure: upstream_lib.Failure,
+    ) -> None:
+        tries.last_failure = failure.detail
+        if not failure.is_busy:
+            self._placements.on_result(
+                backend.backend_id, succeeded=False, now_s=time.monotonic()
+            )
+        if failure.is_leaving:
             self._backends.on_leaving(backend.backend_id)
         _log.info(
             "send failed",
             request=call.req.attempt_id,
             backend=backend.backend_id,
-            run=outcome.run.value,
-            detail=outcome.detail,
+            run=failure.run.value,
+            detail=failure.detail,
             sends=tries.sends,
         )
-        return outcome
--- /dev/null
+++ b/hibiscuspass/gateway/dispatch_news.py
@@ -0,0 +1,81 @@
+"""Tells peers of long prompts and takes in theirs."""
+
+import asyncio
+import time
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.forwarding import messages
+from hibiscuspass.core.forwarding import placement as placement_lib
+from hibiscuspass.core.forwarding import placements as placements_lib
+from hibiscuspass.core.forwarding import request as request_lib
+from hibiscuspass.core.forwarding import route as route_lib
+from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.peers import transport as transport_lib
+
+# Shorter readings end before the news of them arrives.
+_LEAST_TOKENS = 1000
+_TIMEOUT_S = 0.3
+# Bounds the work while peers are slow; news are of use only when fresh.
+_MAX_PENDING = 64
+
+
+class DispatchNews:
+    """Sends a message to each peer when a long prompt is sent."""
+
+    def __init__(
+        self,
+        transport: transport_lib.Transport,
+        fleet: fleet_lib.Fleet,
+        placements: placements_lib.Placements,
+        service_of: placements_lib.ServiceLookup,
+    ) -> None:
+        self._transport = transport
+        self._fleet = fleet
+        self._placements = placements
+        self._service_of = service_of
+        self._pending: set[asyncio.Task[None]] = set()
+        transport.register(messages.Sent, self._on_sent)
+
+    def announce(
+        self,
+        service: route_lib.Service,
+        req: request_lib.ForwardRequest,
+        choice: placement_lib.Choice,
+    ) -> None:
+        """Tells all peers of a send, without waiting."""
+        if choice.new_tokens < _LEAST_TOKENS:
+            return
+        msg = messages.Sent(
+            service.name,
+            choice.backend.backend_id,
+            [p.part_id for p in req.prompt_parts],
+            [p.tokens for p in req.prompt_parts],
+            choice.new_tokens,
+        )
+        for peer in self._fleet.peers():
+            if len(self._pending) >= _MAX_PENDING:
+                return
+            task = asyncio.create_task(self._tell(peer, msg))
+            self._pending.add(task)
+            task.add_done_callback(self._pending.discard)
+
+    async def _tell(self, peer: str, msg: messages.Sent) -> None:
+        reply = await self._transport.request(peer, msg, timeout_s=_TIMEOUT_S)
+        if not isinstance(reply, messages.SentAccepted):
+            self._fleet.on_failure(peer)
+
+    async def _on_sent(
+        self, _: incarnation.Incarnation, msg: messages.Sent
+    ) -> messages.SentAccepted:
+        service = self._service_of(msg.service)
+        if service is not None:
+            parts = tuple(
+                request_lib.PromptPart(part_id, tokens)
+                for part_id, tokens in zip(
+                    msg.part_ids, msg.part_tokens, strict=False
+                )
+            )
+            self._placements.of(service).on_peer_sent(
+                msg.backend_id, parts, msg.new_tokens, time.monotonic()
+            )
+        return messages.SentAccepted()
--- a/hibiscuspass/gateway/fleet.py
+++ b/hibiscuspass/gateway/fleet.py
@@ -7,6 +7,7 @@
 import attrs
 import structlog
 
+from hibiscuspass.backends import kv_store
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import refusal
@@ -17,7 +18,7 @@
 
 # All routers of a new fleet start within a second of each other; later ones
 # make themselves known by their first messages.
-_FIRST_READS_S = (0.5, 1.5, 4.0)
+_FIRST_READS_S = (1.0, 4.0)
 _READ_INTERVAL_S = 15.0
 _TIMEOUT_S = 1.0
 # Pause before a peer that did not answer is asked again, in seconds.
@@ -31,12 +32,16 @@
 
 
 class Fleet:
-    """Peers by address, and whether they answer."""
+    """Peers by address, and whether they answer.
+
+    Attributes:
+      process: This router.
+    """
 
     def __init__(
         self, process: incarnation.Incarnation, store: txn_store.TxnStore
     ) -> None:
-        self._process = process
+        self.process = process
         self._store = store
         self._peers: dict[str, _Peer] = {}
 
@@ -87,26 +92,23 @@
             await asyncio.sleep(_READ_INTERVAL_S)
             await self.read()
 
-    async def read(self) -> dict[str, int] | None:
-        """Reads the routers' records; returns their revisions by key."""
+    async def read(self) -> list[kv_store.KeyValue] | refusal.Refusal:
+        """Reads the routers' records and takes them in."""
         result = await self._store.get_prefix(
             store_record.ROUTER_PREFIX, timeout_s=_TIMEOUT_S, stale_ok=True
         )
         if isinstance(result, refusal.Refusal):
-            return None
-        members = member_records.decode(
-            {item.key: item.value for item in result.entries}
-        )
-        self.on_members(members)
-        return {item.key: item.revision for item in result.entries}
+            return result
+        self._on_members(member_records.decode(result.entries))
+        return list(result.entries)
 
-    def on_members(
+    def _on_members(
         self, members: Mapping[incarnation.Incarnation, str]
     ) -> None:
-        """Takes in the routers' records; addresses are unique to a start."""
+        """Takes in the routers' records; an address belongs to one name."""
         for process, address in members.items():
-            if process.name == self._process.name:
-                continue
-            if address not in self._peers:
+            if process.name != self.process.name and (
+                address not in self._peers
+            ):
                 self._peers[address] = _Peer(process)
                 _log.info("peer known", peer=str(process), address=address)
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -110,7 +110,10 @@
     ) -> str | None:
         """Relays one answer; returns why it broke off, if it did."""
         try:
-            broken = await relay.copy(answer.resp)
+            broken = await relay.copy(
+                answer.resp,
+                lambda: self._dispatcher.on_first_event(answer),
+            )
         except BaseException:
             # The caller left or the time is over; the server is not at fault.
             self._dispatcher.on_ended(answer, succeeded=True)
@@ -153,6 +156,9 @@
                 backend=tries.last_backend,
                 sends=tries.sends,
                 events=relay.events,
+                tokens=call.req.max_tokens,
+                first_ms=_since_ms(call, relay.first_event_s),
+                pause_ms=round(relay.longest_pause_s * 1000),
                 ms=round(latency_s * 1000),
             )
             return relay.response
@@ -198,3 +204,10 @@
             ms=round(latency_s * 1000),
         )
         return answer
+
+
+def _since_ms(call: call_lib.Call, at_s: float | None) -> int | None:
+    """Returns the milliseconds from a request's arrival to a time."""
+    if at_s is None:
+        return None
+    return round((at_s - call.req.received_s) * 1000)
--- a/hibiscuspass/gateway/member_records.py
+++ b/hibiscuspass/gateway/member_records.py
@@ -1,10 +1,11 @@
 """Peer addresses in the routers' ledger records."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 import msgspec
 import structlog
 
+from hibiscuspass.backends import kv_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.prepaid import store_record
 
@@ -12,18 +13,18 @@
 
 
 def decode(
-    records: Mapping[str, bytes],
+    items: Iterable[kv_store.KeyValue],
 ) -> dict[incarnation.Incarnation, str]:
-    """Returns the peer address of each router's record.
-
-    Args:
-      records: Values of the store by key.
-    """
-    members: dict[incarnation.Incarnation, str] = {}
-    for key, value in records.items():
+    """Returns the peer address of the newest record of each router name."""
+    newest: dict[str, tuple[incarnation.Incarnation, str]] = {}
+    for item in sorted(items, key=lambda i: i.revision):
         try:
-            record = store_record.decode_router(value)
-            members[store_record.process_of(key)] = record.address
+            record = store_record.decode_router(item.value)
+            process = store_record.process_of(item.key)
         except (msgspec.MsgspecError, ValueError) as exc:
-            _log.warning("unreadable router record", key=key, error=str(exc))
-    return members
+            _log.warning(
+                "unreadable router record", key=item.key, error=str(exc)
+            )
+            continue
+        newest[process.name] = (process, record.address)
+    return dict(newest.values())
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -15,6 +15,7 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.prepaid import book as book_lib
 from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import store_share
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.peers import transport as transport_lib
@@ -26,6 +27,11 @@
 # The store answers in milliseconds; a call without an answer is given up
 # early, because its outcome is read back anyway.
 _STORE_TIMEOUT_S = 1.0
+# Time for the other routers of a new fleet to register.
+_JOIN_S = 1.0
+# A draw for a request is awaited for at most this long before the peers are
+# asked; the store answers in a few milliseconds.
+_URGENT_DRAW_S = 0.05
 # Pause after a failed call, so that an outage doesn't cause a stream of calls.
 _STORE_PAUSE_S = 1.0
 _MAX_CONFLICTS = 5
@@ -65,19 +71,47 @@
         self._searches: dict[str, asyncio.Lock] = {}
         self._dry: dict[str, _Dry] = {}
         self._store_paused_until_s = 0.0
+        # Draws that outlast the requests that asked for them.
+        self._draws: set[asyncio.Task[bool]] = set()
         self._peer_available: dict[tuple[str, str], int] = {}
         transport.register(messages.Borrow, self._on_borrow)
         transport.register(messages.Lent, self._on_lent)
 
     async def run(self) -> None:
-        """Draws and returns tokens until cancelled."""
+        """Joins the fleet, then draws and returns tokens until cancelled."""
+        registered = await self._register()
+        while not registered:
+            await asyncio.sleep(_STORE_PAUSE_S)
+            registered = await self._register()
+        # The other routers of a new fleet register meanwhile, which decides
+        # the size of the first draw.
+        await asyncio.sleep(_JOIN_S)
+        await self._fleet.read()
         while True:
             await self.refill()
             await asyncio.sleep(_TICK_S)
 
+    async def _register(self) -> bool:
+        """Writes this router's record and removes those of its past starts."""
+        items = await self._fleet.read()
+        if isinstance(items, refusal.Refusal):
+            return False
+        ended = [
+            item.key
+            for item in items
+            if store_record.is_earlier_start(item.key, self._fleet.process)
+        ]
+        async with self._lock:
+            txn = self.book.share.plan({}, {})
+            outcome = await self._store.commit(
+                txn.expected, txn.writes, ended, timeout_s=_STORE_TIMEOUT_S
+            )
+            return self._on_outcome(txn, outcome)
+
     async def refill(self) -> bool:
         """Carries out the changes that are due; False without the store."""
         now_s = time.monotonic()
+        self.book.routers = self._fleet.size
         if now_s < self._store_paused_until_s:
             return False
         changes = self.book.planned_changes(now_s)
@@ -171,7 +205,13 @@
         change = self.book.urgent_draw(workspace, tokens, now_s)
         if not change:
             return True
-        return await self._change({workspace: change}, urgent_tokens=tokens)
+        draw = asyncio.create_task(
+            self._change({workspace: change}, urgent_tokens=tokens)
+        )
+        self._draws.add(draw)
+        draw.add_done_callback(self._draws.discard)
+        done, _ = await asyncio.wait({draw}, timeout=_URGENT_DRAW_S)
+        return draw in done and draw.result()
 
     async def _borrow(self, workspace: str, tokens: int) -> bool:
         """Borrows from peers; returns whether all of them answered."""
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -14,15 +14,19 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
-from hibiscuspass.core.forwarding import placement as placement_lib
+from hibiscuspass.core.forwarding import messages as forwarding_messages
+from hibiscuspass.core.forwarding import placements as placements_lib
 from hibiscuspass.core.forwarding import repeat_budget
+from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.core.prepaid import book as book_lib
 from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import messages as prepaid_messages
 from hibiscuspass.gateway import answers
 from hibiscuspass.gateway import backend_follower
 from hibiscuspass.gateway import config_follower
 from hibiscuspass.gateway import dispatch
+from hibiscuspass.gateway import dispatch_news
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import fleet_key as fleet_key_lib
 from hibiscuspass.gateway import follower
@@ -51,6 +55,15 @@
 _POLL_SHARE = 0.5
 
 
+_MESSAGE_TYPES = (
+    prepaid_messages.Borrow,
+    prepaid_messages.Lent,
+    prepaid_messages.Accepted,
+    forwarding_messages.Sent,
+    forwarding_messages.SentAccepted,
+)
+
+
 class GatewayProcess:
     """Wires the parts together and runs them."""
 
@@ -139,33 +152,47 @@
         key = await fleet_key_lib.obtain(self._store)
         recorder = recorder_lib.Recorder(self.process, capacity=1)
         self._transport = pynng_transport.make_transport(
-            self.process, cfg.listen.peers, key, recorder, max_handlers=16
+            self.process,
+            cfg.listen.peers,
+            key,
+            recorder,
+            message_types=_MESSAGE_TYPES,
+            max_handlers=16,
         )
         self._prepaid = prepaid_runtime.PrepaidRuntime(
             self._book, self._store, self._transport, self._fleet
         )
-        await self._transport.start()
         seed = int.from_bytes(
             hashlib.blake2b(str(self.process).encode(), digest_size=8).digest()
         )
+        placements = placements_lib.make_placements(
+            cfg.process.failure_domain, seed
+        )
+        news = dispatch_news.DispatchNews(
+            self._transport, self._fleet, placements, self._service
+        )
         dispatcher = dispatch.Dispatcher(
             self._upstream,
             self._servers.backends,
-            placement_lib.make_placement(
-                placement_lib.PlacementConfig(cfg.process.failure_domain), seed
-            ),
+            placements,
             repeat_budget.RepeatConfig(
                 cfg.repeats.ratio, cfg.repeats.slack, cfg.repeats.window_s
             ),
             lambda: self._config.table,
-            lambda: self._fleet.size,
+            self._fleet,
+            news,
         )
         self._forwarder = forwarder_lib.Forwarder(
             self._prepaid, dispatcher, self._metrics
         )
+        await self._transport.start()
         self._spawn(self._fleet.run())
         self._spawn(self._prepaid.run())
 
+    def _service(self, name: str) -> route_lib.Service | None:
+        table = self._config.table
+        return table.services.get(name) if table else None
+
     def _on_table(self, table: route_table.RouteTable) -> None:
         self._book.on_prepaid(
             {
@@ -174,7 +201,6 @@
                 if w.prepaid is not None
             }
         )
-        self._book.routers = self._fleet.size
 
     async def _on_request(self, http: web.BaseRequest) -> web.StreamResponse:
         self._in_progress += 1
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 
 import aiohttp
 from aiohttp import web
@@ -22,6 +23,8 @@
     Attributes:
       response: Answer to the caller; None before it starts.
       status: Status of the answer; 0 before it starts.
+      first_event_s: Time of the first whole event on the monotonic clock.
+      longest_pause_s: Longest time between events.
     """
 
     def __init__(
@@ -32,6 +35,10 @@
     ) -> None:
         self.response: web.StreamResponse | None = None
         self.status = 0
+        self.first_event_s: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_event_s = 0.0
+        self._on_first_event: Callable[[], None] | None = None
         self._http = http
         self._call = call
         self._tokens_per_event = tokens_per_event(call)
@@ -66,8 +73,16 @@
         output = min(req.max_output_tokens, events * self._tokens_per_event)
         return req.input_tokens + output
 
-    async def copy(self, resp: aiohttp.ClientResponse) -> str | None:
-        """Copies one answer; returns why it broke off, if it did."""
+    async def copy(
+        self, resp: aiohttp.ClientResponse, on_first_event: Callable[[], None]
+    ) -> str | None:
+        """Copies one answer; returns why it broke off, if it did.
+
+        Args:
+          resp: Answer whose head was read.
+          on_first_event: Called at the first whole event of this answer.
+        """
+        self._on_first_event = on_first_event
         whole = False
         try:
             if self._is_stream(resp):
@@ -119,6 +134,7 @@
                 break
             whole_events = self._scanner.feed(chunk)
             if whole_events:
+                self._on_event(time.monotonic())
                 await _write(response, whole_events)
         if self._scanner.rest:
             # The body may end without an empty line.
@@ -126,6 +142,18 @@
         await _write(response, None)
         return True
 
+    def _on_event(self, now_s: float) -> None:
+        if self._on_first_event:
+            self._on_first_event()
+            self._on_first_event = None
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        else:
+            self.longest_pause_s = max(
+                self.longest_pause_s, now_s - self._last_event_s
+            )
+        self._last_event_s = now_s
+
     async def _start(self, resp: aiohttp.ClientResponse) -> None:
         response = web.StreamResponse(status=resp.status, reason=resp.reason)
         _copy_headers(resp, response)
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -90,6 +90,8 @@
         headers = call.headers.copy()
         headers[names.DEADLINE_MS] = str(max(1, int(left_s * 1000)))
         headers[names.EXPECTED_BACKEND] = backend.backend_id
+        if call.req.input_tokens:
+            headers[names.URGENCY] = str(min(9, max(0, call.priority)))
         if last_event_id is not None:
             headers[names.LAST_EVENT_ID] = last_event_id
         try:
