Keep prepaid tokens back for urgent kinds and return them at a stop

Ruled out: over-counting (use by log equals the draws within 5%).

No draw follows the return; routers hold 12 s of their own use; their rates outlive a start in the store; when tokens are scarce, kinds of lower priority stop first.

--- a/hibiscuspass/core/prepaid/account.py
+++ b/hibiscuspass/core/prepaid/account.py
@@ -55,7 +55,11 @@
         self.used += used
 
     def lend(
-        self, peer: incarnation.Incarnation, least: int, wanted: int
+        self,
+        peer: incarnation.Incarnation,
+        least: int,
+        wanted: int,
+        kept: int = 0,
     ) -> int:
         """Lends tokens to a peer and returns the new total lent to it.
 
@@ -64,8 +68,9 @@
           least: What the borrower needs now; all of it is lent if there.
           wanted: What it would like; at most half of the available is lent
             beyond `least`.
+          kept: Tokens that are not lent.
         """
-        room = max(0, self.available)
+        room = max(0, self.available - kept)
         amount = min(room, max(least, min(wanted, room // 2)))
         total = self.lent.get(peer, 0) + max(0, amount)
         if total:
--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -1,5 +1,6 @@
 """All prepaid accounts of one router."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
@@ -8,6 +9,7 @@
 from hibiscuspass.core.prepaid import account
 from hibiscuspass.core.prepaid import draw_policy
 from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import store_share
 
 # Weight of the newest request in the size of a typical one.
@@ -18,6 +20,7 @@
 class _Entry:
     account: account.Account
     rate: draw_policy.UseRate
+    by_priority: dict[int, draw_policy.UseRate] = attrs.field(factory=dict)
     typical: float = 0.0
 
     def on_request(self, tokens: int, now_s: float) -> None:
@@ -33,11 +36,13 @@
     Attributes:
       workspace: Workspace that pays.
       tokens: Reserved tokens.
+      priority: Rank of the request, 0 first.
       open: Whether the request has not been settled.
     """
 
     workspace: str
     tokens: int
+    priority: int = 0
     open: bool = True
 
 
@@ -60,11 +65,34 @@
         self._address = address
         self._cfg = cfg
         self._prepaid: dict[str, int] = {}
+        # Use per router before this start, by workspace and priority.
+        self._past: dict[str, dict[int, float]] = {}
         self._entries: dict[str, _Entry] = {}
 
-    def on_prepaid(self, prepaid: Mapping[str, int]) -> None:
-        """Sets the prepaid amounts of the current configuration."""
-        self._prepaid = dict(prepaid)
+    def on_prepaid(self, prepaid: Mapping[str, int]) -> list[str]:
+        """Sets the prepaid amounts; returns the workspaces that changed."""
+        old, self._prepaid = self._prepaid, dict(prepaid)
+        names = old.keys() | prepaid.keys()
+        return sorted(n for n in names if old.get(n) != prepaid.get(n))
+
+    def on_records(self, records: Iterable[store_record.RouterRecord]) -> None:
+        """Takes in the use of the fleet before this router started.
+
+        The share of this router is assumed until its own use is known.
+        """
+        routers = max(1, self.routers)
+        past: dict[str, dict[int, float]] = {}
+        for record in records:
+            for name, rates in record.rates.items():
+                sums = past.setdefault(name, {})
+                for priority, per_s in rates.items():
+                    sums[priority] = sums.get(priority, 0.0) + per_s / routers
+        self._past = past
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.account != account.Account()
+        }
 
     def is_limited(self, workspace: str) -> bool:
         """Returns whether a workspace has a prepaid amount."""
@@ -81,13 +109,44 @@
             0, self._prepaid.get(workspace, 0) - self.share.total(workspace)
         )
 
-    def hold(self, workspace: str, tokens: int, now_s: float) -> Hold | None:
-        """Reserves tokens for a request; None without room."""
+    def reserve(self, workspace: str, priority: int, now_s: float) -> int:
+        """Returns the tokens kept back for more urgent requests.
+
+        Without the store, or near the end of the prepaid amount, tokens get
+        scarce; the more urgent kinds of requests then go on for longest.
+        """
         entry = self._entry(workspace, now_s)
+        urgent_per_s = sum(
+            rate.per_s(now_s)
+            for rank, rate in entry.by_priority.items()
+            if rank < priority
+        )
+        dry = self.undrawn(workspace) < self._cfg.scarce_s * urgent_per_s
+        last_s = self._cfg.scarce_s if dry else self._cfg.outage_s
+        return int(last_s * urgent_per_s)
+
+    def hold(
+        self, workspace: str, tokens: int, priority: int, now_s: float
+    ) -> Hold | None:
+        """Reserves tokens for a request; None without room.
+
+        Args:
+          workspace: Workspace that pays.
+          tokens: The most that the request can use.
+          priority: Rank of the request, 0 first.
+          now_s: Present time in seconds.
+        """
+        entry = self._entry(workspace, now_s)
+        kept = self.reserve(workspace, priority, now_s)
+        if tokens + kept > entry.account.available:
+            return None
         if not entry.account.hold(tokens):
             return None
         entry.on_request(tokens, now_s)
-        return Hold(workspace, tokens)
+        if priority not in entry.by_priority:
+            entry.by_priority[priority] = self._rate(now_s, 0.0)
+        entry.by_priority[priority].add(tokens, now_s)
+        return Hold(workspace, tokens, priority)
 
     def settle(self, hold: Hold, used: int, now_s: float) -> None:
         """Replaces a reservation by the tokens used; later calls do nothing."""
@@ -97,6 +156,7 @@
         entry = self._entry(hold.workspace, now_s)
         entry.account.settle(hold.tokens, used)
         entry.rate.add(used - hold.tokens, now_s)
+        entry.by_priority[hold.priority].add(used - hold.tokens, now_s)
 
     def wanted_loan(self, workspace: str, tokens: int, now_s: float) -> int:
         """Returns the size of a useful loan for a request of `tokens`."""
@@ -108,7 +168,8 @@
     ) -> messages.Lent:
         """Lends tokens to a peer that asks for them."""
         acc = self._entry(ask.workspace, now_s).account
-        total = acc.lend(peer, ask.least, ask.wanted)
+        kept = self.reserve(ask.workspace, ask.priority, now_s)
+        total = acc.lend(peer, ask.least, ask.wanted, kept)
         return self._lent({ask.workspace: total}, {ask.workspace: acc})
 
     def lend_everything(
@@ -185,24 +246,35 @@
             routers=self.routers,
         )
 
+    def rates(self, now_s: float) -> dict[str, dict[int, float]]:
+        """Returns the tokens per second by workspace and priority."""
+        return {
+            name: {
+                priority: round(rate.per_s(now_s), 1)
+                for priority, rate in entry.by_priority.items()
+            }
+            for name, entry in self._entries.items()
+            if entry.by_priority
+        }
+
     def _entry(self, workspace: str, now_s: float) -> _Entry:
         entry = self._entries.get(workspace)
         if entry is None:
+            past = self._past.get(workspace, {})
+            first_per_s = sum(past.values()) or draw_policy.first_rate(
+                self.undrawn(workspace), self.routers, self._cfg
+            )
             entry = _Entry(
                 account.Account(),
-                draw_policy.UseRate(
-                    self._cfg.rate_memory_s,
-                    now_s,
-                    draw_policy.first_rate(
-                        self._prepaid.get(workspace, 0),
-                        self.routers,
-                        self._cfg,
-                    ),
-                ),
+                self._rate(now_s, first_per_s),
+                {p: self._rate(now_s, per_s) for p, per_s in past.items()},
             )
             self._entries[workspace] = entry
         return entry
 
+    def _rate(self, now_s: float, first_per_s: float) -> draw_policy.UseRate:
+        return draw_policy.UseRate(self._cfg.rate_memory_s, now_s, first_per_s)
+
     def _lent(
         self,
         totals: Mapping[str, int],
--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -17,25 +17,28 @@
 
     Attributes:
       outage_s: Time without the store that drawn tokens should last, seconds.
-      first_share: Part of the prepaid amount that all routers together draw
+      first_share: Part of the undrawn tokens that all routers together draw
         before any use is known.
       rest_share: Part of the remaining tokens that all routers together hold
         at most, if their use is even.
       refill_below: Part of the goal below which a router draws again.
       return_above: Multiple of the goal above which a router returns tokens.
+      scarce_s: Time for which tokens are kept back for more urgent kinds of
+        requests once the store has few left, in seconds.
       rate_memory_s: Time constant of the estimate of use, in seconds.
     """
 
-    outage_s: float = 14.0
-    first_share: float = 0.3
+    outage_s: float = 12.0
+    first_share: float = 0.25
     rest_share: float = 0.7
-    refill_below: float = 0.8
-    return_above: float = 3.0
+    refill_below: float = 0.85
+    return_above: float = 2.0
+    scarce_s: float = 30.0
     rate_memory_s: float = 10.0
 
 
 class UseRate:
-    """Tokens per second that a workspace uses at this router."""
+    """Tokens per second that are used at this router."""
 
     def __init__(
         self, memory_s: float, now_s: float, first_per_s: float
@@ -86,9 +89,9 @@
         return max(0, self.prepaid - self.drawn_by_all)
 
 
-def first_rate(prepaid: int, routers: int, cfg: DrawConfig) -> float:
+def first_rate(undrawn: int, routers: int, cfg: DrawConfig) -> float:
     """Returns the rate of use assumed before any use is known."""
-    return cfg.first_share * prepaid / max(1, routers) / cfg.outage_s
+    return cfg.first_share * undrawn / max(1, routers) / cfg.outage_s
 
 
 def goal(position: Position, cfg: DrawConfig) -> int:
@@ -115,7 +118,7 @@
         # Tokens at an idle router are lost with it, but can be borrowed; a
         # return is worth a call only if much of the rest is there.
         floor = cfg.first_share * position.undrawn / max(1, position.routers)
-        return -surplus if surplus > max(floor, 4 * position.typical) else 0
+        return -surplus if surplus > max(floor, position.typical) else 0
     return 0
 
 
--- a/hibiscuspass/core/prepaid/messages.py
+++ b/hibiscuspass/core/prepaid/messages.py
@@ -11,11 +11,13 @@
       workspace: Workspace of the tokens.
       least: Tokens needed now.
       wanted: Tokens that would be useful.
+      priority: Rank of the request that needs them, 0 first.
     """
 
     workspace: str
     least: int
     wanted: int
+    priority: int
 
 
 @attrs.frozen
--- a/hibiscuspass/core/prepaid/store_record.py
+++ b/hibiscuspass/core/prepaid/store_record.py
@@ -28,11 +28,13 @@
       drawn: Tokens drawn and not returned, by workspace; negative if it
         returned tokens that it had received from peers.
       used: Tokens used when the record was written, by workspace.
+      rates: Tokens per second used lately, by workspace and priority.
     """
 
     address: str
     drawn: dict[str, int] = {}
     used: dict[str, int] = {}
+    rates: dict[str, dict[int, float]] = {}
 
 
 _WORKSPACE = msgspec.json.Decoder(WorkspaceRecord)
--- a/hibiscuspass/core/prepaid/store_share.py
+++ b/hibiscuspass/core/prepaid/store_share.py
@@ -60,13 +60,18 @@
         return total.drawn if total else 0
 
     def plan(
-        self, deltas: Mapping[str, int], used: Mapping[str, int]
+        self,
+        deltas: Mapping[str, int],
+        used: Mapping[str, int],
+        rates: Mapping[str, dict[int, float]] | None = None,
     ) -> Transaction:
         """Plans one write; at most one may be in flight.
 
         Args:
           deltas: Tokens to draw (positive) or to return, by workspace.
           used: Tokens used so far by workspace, for reports.
+          rates: Tokens per second by workspace and priority, for the next
+            start of a router.
         """
         for name, delta in deltas.items():
             if delta < 0:
@@ -82,7 +87,9 @@
             )
         drawn = store_record.with_changes(self._own, deltas)
         writes[self._key] = store_record.encode(
-            store_record.RouterRecord(self._address, drawn, dict(used))
+            store_record.RouterRecord(
+                self._address, drawn, dict(used), dict(rates or {})
+            )
         )
         return Transaction(expected, writes, dict(deltas), drawn)
 
--- a/hibiscuspass/gateway/fleet.py
+++ b/hibiscuspass/gateway/fleet.py
@@ -7,7 +7,6 @@
 import attrs
 import structlog
 
-from hibiscuspass.backends import kv_store
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import refusal
@@ -31,6 +30,19 @@
     suspect_until_s: float = 0.0
 
 
+@attrs.frozen
+class Members:
+    """The routers' records in the store.
+
+    Attributes:
+      keys: Keys of all records.
+      records: Newest record of each router name.
+    """
+
+    keys: tuple[str, ...]
+    records: tuple[store_record.RouterRecord, ...]
+
+
 class Fleet:
     """Peers by address, and whether they answer.
 
@@ -92,21 +104,27 @@
             await asyncio.sleep(_READ_INTERVAL_S)
             await self.read()
 
-    async def read(self) -> list[kv_store.KeyValue] | refusal.Refusal:
+    async def read(self) -> Members | refusal.Refusal:
         """Reads the routers' records and takes them in."""
         result = await self._store.get_prefix(
             store_record.ROUTER_PREFIX, timeout_s=_TIMEOUT_S, stale_ok=True
         )
         if isinstance(result, refusal.Refusal):
             return result
-        self._on_members(member_records.decode(result.entries))
-        return list(result.entries)
+        records = member_records.decode(result.entries)
+        self._on_members(records)
+        return Members(
+            tuple(item.key for item in result.entries),
+            tuple(records.values()),
+        )
 
     def _on_members(
-        self, members: Mapping[incarnation.Incarnation, str]
+        self,
+        members: Mapping[incarnation.Incarnation, store_record.RouterRecord],
     ) -> None:
         """Takes in the routers' records; an address belongs to one name."""
-        for process, address in members.items():
+        for process, record in members.items():
+            address = record.address
             if process.name != self.process.name and (
                 address not in self._peers
             ):
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -71,6 +71,7 @@
         return await self._prepaid.obtain(
             workspace.name,
             tokens,
+            call.route.priority,
             call.req.received_s + _BUDGET_SEARCH_SHARE * left_s,
         )
 
@@ -156,7 +157,9 @@
                 backend=tries.last_backend,
                 sends=tries.sends,
                 events=relay.events,
-                tokens=call.req.max_tokens,
+                workspace=call.workspace.name if call.workspace else None,
+                held=call.req.max_tokens,
+                used=relay.tokens_used,
                 first_ms=_since_ms(call, relay.first_event_s),
                 pause_ms=round(relay.longest_pause_s * 1000),
                 ms=round(latency_s * 1000),
--- a/hibiscuspass/gateway/member_records.py
+++ b/hibiscuspass/gateway/member_records.py
@@ -1,4 +1,4 @@
-"""Peer addresses in the routers' ledger records."""
+"""Decodes the routers' ledger records."""
 
 from collections.abc import Iterable
 
@@ -14,9 +14,11 @@
 
 def decode(
     items: Iterable[kv_store.KeyValue],
-) -> dict[incarnation.Incarnation, str]:
-    """Returns the peer address of the newest record of each router name."""
-    newest: dict[str, tuple[incarnation.Incarnation, str]] = {}
+) -> dict[incarnation.Incarnation, store_record.RouterRecord]:
+    """Returns the newest record of each router name."""
+    newest: dict[
+        str, tuple[incarnation.Incarnation, store_record.RouterRecord]
+    ] = {}
     for item in sorted(items, key=lambda i: i.revision):
         try:
             record = store_record.decode_router(item.value)
@@ -26,5 +28,5 @@
                 "unreadable router record", key=item.key, error=str(exc)
             )
             continue
-        newest[process.name] = (process, record.address)
+        newest[process.name] = (process, record)
     return dict(newest.values())
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -69,8 +69,9 @@
         self._fleet = fleet
         self._lock = asyncio.Lock()
         self._searches: dict[str, asyncio.Lock] = {}
-        self._dry: dict[str, _Dry] = {}
+        self._dry: dict[tuple[str, int], _Dry] = {}
         self._store_paused_until_s = 0.0
+        self._is_closing = False
         # Draws that outlast the requests that asked for them.
         self._draws: set[asyncio.Task[bool]] = set()
         self._peer_available: dict[tuple[str, str], int] = {}
@@ -93,38 +94,49 @@
 
     async def _register(self) -> bool:
         """Writes this router's record and removes those of its past starts."""
-        items = await self._fleet.read()
-        if isinstance(items, refusal.Refusal):
+        members = await self._fleet.read()
+        if isinstance(members, refusal.Refusal):
             return False
+        self.book.routers = self._fleet.size
+        self.book.on_records(members.records)
         ended = [
-            item.key
-            for item in items
-            if store_record.is_earlier_start(item.key, self._fleet.process)
+            key
+            for key in members.keys
+            if store_record.is_earlier_start(key, self._fleet.process)
         ]
         async with self._lock:
-            txn = self.book.share.plan({}, {})
+            txn = self._plan({})
             outcome = await self._store.commit(
                 txn.expected, txn.writes, ended, timeout_s=_STORE_TIMEOUT_S
             )
             return self._on_outcome(txn, outcome)
 
+    def _plan(self, changes: Mapping[str, int]) -> store_share.Transaction:
+        now_s = time.monotonic()
+        txn = self.book.share.plan(
+            changes, self.book.used(), self.book.rates(now_s)
+        )
+        self.book.sync_drawn(now_s)
+        return txn
+
     async def refill(self) -> bool:
         """Carries out the changes that are due; False without the store."""
         now_s = time.monotonic()
         self.book.routers = self._fleet.size
-        if now_s < self._store_paused_until_s:
+        if self._is_closing or now_s < self._store_paused_until_s:
             return False
         changes = self.book.planned_changes(now_s)
         return not changes or await self._change(changes)
 
     async def obtain(
-        self, workspace: str, tokens: int, deadline_s: float
+        self, workspace: str, tokens: int, priority: int, deadline_s: float
     ) -> book_lib.Hold | refusal.Refusal:
         """Reserves tokens for a request.
 
         Args:
           workspace: Workspace that pays.
           tokens: The most that the request can use.
+          priority: Rank of the request, 0 first.
           deadline_s: Time on the monotonic clock until which a search for
             tokens is worth while.
 
@@ -132,21 +144,26 @@
           The reservation, or a refusal: `BUDGET_EXHAUSTED` if the fleet has no
           room, `BUDGET_UNAVAILABLE` if it may have but not here.
         """
-        hold = self.book.hold(workspace, tokens, time.monotonic())
+        hold = self.book.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
-        dry = self._dry.get(workspace)
+        dry = self._dry.get((workspace, priority))
         if dry and tokens >= dry.tokens and time.monotonic() < dry.until_s:
             return _refuse(dry.reason)
         lock = self._searches.setdefault(workspace, asyncio.Lock())
         try:
             async with asyncio.timeout_at(deadline_s), lock:
-                return await self._search(workspace, tokens)
+                return await self._search(workspace, tokens, priority)
         except TimeoutError:
             return _refuse(reason_lib.Reason.BUDGET_UNAVAILABLE)
 
     async def close(self) -> None:
-        """Returns all available tokens to the store or to a peer."""
+        """Returns all available tokens to the store or to a peer.
+
+        It may be called again when more requests have ended.
+        """
+        # A later draw would be lost with this process.
+        self._is_closing = True
         surplus = self.book.surplus()
         if surplus and await self._change(surplus):
             _log.info("returned prepaid tokens", workspaces=len(surplus))
@@ -164,19 +181,20 @@
                 return
 
     async def _search(
-        self, workspace: str, tokens: int
+        self, workspace: str, tokens: int, priority: int
     ) -> book_lib.Hold | refusal.Refusal:
         """Looks for tokens in the store, then at the peers."""
-        hold = self.book.hold(workspace, tokens, time.monotonic())
+        hold = self.book.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
-        store_asked = await self._draw_for(workspace, tokens)
-        hold = self.book.hold(workspace, tokens, time.monotonic())
+        kept = self.book.reserve(workspace, priority, time.monotonic())
+        store_asked = await self._draw_for(workspace, tokens + kept)
+        hold = self.book.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
-        all_asked = await self._borrow(workspace, tokens)
+        all_asked = await self._borrow(workspace, tokens + kept, priority)
         now_s = time.monotonic()
-        hold = self.book.hold(workspace, tokens, now_s)
+        hold = self.book.hold(workspace, tokens, priority, now_s)
         if hold:
             return hold
         exhausted = store_asked and all_asked
@@ -185,11 +203,13 @@
             if exhausted
             else reason_lib.Reason.BUDGET_UNAVAILABLE
         )
-        self._dry[workspace] = _Dry(tokens, now_s + _DRY_S, why)
+        self._dry[workspace, priority] = _Dry(tokens, now_s + _DRY_S, why)
         _log.info(
             "no prepaid tokens",
             workspace=workspace,
             tokens=tokens,
+            priority=priority,
+            reserve=kept,
             available=self.book.available(workspace),
             undrawn=self.book.undrawn(workspace),
             store_asked=store_asked,
@@ -200,7 +220,7 @@
     async def _draw_for(self, workspace: str, tokens: int) -> bool:
         """Draws for one request; returns whether the store was reached."""
         now_s = time.monotonic()
-        if now_s < self._store_paused_until_s:
+        if self._is_closing or now_s < self._store_paused_until_s:
             return False
         change = self.book.urgent_draw(workspace, tokens, now_s)
         if not change:
@@ -213,7 +233,7 @@
         done, _ = await asyncio.wait({draw}, timeout=_URGENT_DRAW_S)
         return draw in done and draw.result()
 
-    async def _borrow(self, workspace: str, tokens: int) -> bool:
+    async def _borrow(self, workspace: str, tokens: int, priority: int) -> bool:
         """Borrows from peers; returns whether all of them answered."""
         peers = sorted(
             self._fleet.peers(),
@@ -227,18 +247,19 @@
                 return True
             wanted = self.book.wanted_loan(workspace, missing, time.monotonic())
             replies = await asyncio.gather(
-                *(self._ask(p, workspace, missing, wanted) for p in some)
+                *(
+                    self._ask(
+                        p, messages.Borrow(workspace, missing, wanted, priority)
+                    )
+                    for p in some
+                )
             )
             answered = answered and all(replies)
         return answered
 
-    async def _ask(
-        self, peer: str, workspace: str, least: int, wanted: int
-    ) -> bool:
+    async def _ask(self, peer: str, ask: messages.Borrow) -> bool:
         reply = await self._transport.request(
-            peer,
-            messages.Borrow(workspace, least, wanted),
-            timeout_s=_PEER_TIMEOUT_S,
+            peer, ask, timeout_s=_PEER_TIMEOUT_S
         )
         if not isinstance(reply, messages.Lent):
             self._fleet.on_failure(peer)
@@ -280,8 +301,7 @@
             for _ in range(_MAX_CONFLICTS):
                 if not due:
                     return True
-                txn = self.book.share.plan(due, self.book.used())
-                self.book.sync_drawn(time.monotonic())
+                txn = self._plan(due)
                 outcome = await self._store.commit(
                     txn.expected, txn.writes, timeout_s=_STORE_TIMEOUT_S
                 )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -75,6 +75,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping_since_s: float | None = None
         self._in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._metrics = gateway_metrics.GatewayMetrics(
             prometheus_client.CollectorRegistry()
         )
@@ -122,12 +124,16 @@
         _log.info("stopping", in_progress=self._in_progress)
         end_s = now_s + self._cfg.grace_s - _CLOSING_S
         accept_until_s = min(now_s + _ACCEPT_AFTER_STOP_S, end_s)
-        while time.monotonic() < end_s:
-            await asyncio.sleep(0.05)
-            if time.monotonic() > accept_until_s and not self._in_progress:
-                break
-        if self._prepaid:
-            await self._prepaid.close()
+        await asyncio.sleep(accept_until_s - time.monotonic())
+        # Requests in progress hold what they may use; the rest serves others.
+        await self._return_tokens()
+        left_s = max(0.0, end_s - time.monotonic())
+        try:
+            async with asyncio.timeout(left_s):
+                await self._idle.wait()
+        except TimeoutError:
+            _log.warning("cutting requests", in_progress=self._in_progress)
+        await self._return_tokens()
         await self._server.close()
         for task in self._tasks:
             task.cancel()
@@ -138,6 +144,10 @@
         await self._store.close()
         _log.info("stopped", in_progress=self._in_progress)
 
+    async def _return_tokens(self) -> None:
+        if self._prepaid:
+            await self._prepaid.close()
+
     @property
     def _is_ready(self) -> bool:
         return (
@@ -194,20 +204,28 @@
         return table.services.get(name) if table else None
 
     def _on_table(self, table: route_table.RouteTable) -> None:
-        self._book.on_prepaid(
-            {
-                w.name: w.prepaid
-                for w in table.workspaces.values()
-                if w.prepaid is not None
-            }
-        )
+        prepaid = {
+            w.name: w.prepaid
+            for w in table.workspaces.values()
+            if w.prepaid is not None
+        }
+        changed = self._book.on_prepaid(prepaid)
+        if changed:
+            _log.info(
+                "prepaid amounts changed",
+                version=table.version,
+                amounts={name: prepaid.get(name) for name in changed},
+            )
 
     async def _on_request(self, http: web.BaseRequest) -> web.StreamResponse:
         self._in_progress += 1
+        self._idle.clear()
         try:
             response = await self._answer(http)
         finally:
             self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
         if self._stopping_since_s is not None and not response.prepared:
             response.force_close()
         return response
--- a/tests/prepaid_world.py
+++ b/tests/prepaid_world.py
@@ -31,6 +31,11 @@
     ("wait", 3),
 )
 
+# Large draws, so that returns and loans have something to move.
+_CONFIG = draw_policy.DrawConfig(
+    outage_s=14.0, first_share=0.3, refill_below=0.8, return_above=3.0
+)
+
 
 @attrs.define
 class _Router:
@@ -94,9 +99,7 @@
     def _start(self, number: int) -> _Router:
         self._starts += 1
         process = incarnation.Incarnation(f"router-{number}", f"{self._starts}")
-        book = book_lib.Book(
-            process, f"10.0.0.{number}:7000", draw_policy.DrawConfig()
-        )
+        book = book_lib.Book(process, f"10.0.0.{number}:7000", _CONFIG)
         book.routers = 4
         book.on_prepaid(dict.fromkeys(WORKSPACES, self.prepaid))
         return _Router(book, process)
@@ -109,10 +112,10 @@
 
     def _hold_at(self, router: _Router, workspace: str) -> None:
         tokens = self.rng.randint(1, 4000)
-        hold = router.book.hold(workspace, tokens, self._now_s)
+        hold = router.book.hold(workspace, tokens, 0, self._now_s)
         if hold is None and self.rng.random() < 0.5:
             self._draw_for(router, workspace, tokens)
-            hold = router.book.hold(workspace, tokens, self._now_s)
+            hold = router.book.hold(workspace, tokens, 0, self._now_s)
         if hold:
             router.holds.append(hold)
         else:
@@ -208,6 +211,7 @@
             self._workspace(),
             self.rng.randint(1, 4000),
             self.rng.randint(1, 9000),
+            0,
         )
         lent = lender.book.lend(borrower.process, ask, self._now_s)
         # The answer may arrive now, later, twice, or never.
--- a/tests/test_prepaid_ledger.py
+++ b/tests/test_prepaid_ledger.py
@@ -33,7 +33,7 @@
 
 
 def _lend_unbounded(
-    self: account.Account, peer: Any, least: int, wanted: int
+    self: account.Account, peer: Any, least: int, wanted: int, kept: int = 0
 ) -> int:
     self.lent[peer] = self.lent.get(peer, 0) + least
     return self.lent[peer] + wanted
