Fail bodies without a length that end with a reset

Engines that start again under the same id no longer count as having their old prompts.

Ruled out: the relay's own framing; a regular close still ends such a body.

--- a/hibiscuspass/core/forwarding/backend.py
+++ b/hibiscuspass/core/forwarding/backend.py
@@ -33,3 +33,8 @@
     slots: int
     state: BackendState
     started_ms: int = 0
+
+    @property
+    def instance(self) -> str:
+        """Names this start; a server may start again under the same id."""
+        return f"{self.backend_id}@{self.started_ms}"
--- a/hibiscuspass/core/forwarding/least_in_flight.py
+++ b/hibiscuspass/core/forwarding/least_in_flight.py
@@ -37,8 +37,8 @@
         now_s: float,
     ) -> None:
         """See base class."""
-        backend_id = choice.backend.backend_id
-        self._in_flight[backend_id] = self._in_flight.get(backend_id, 0) + 1
+        instance = choice.backend.instance
+        self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
 
     def on_first_event(
         self, choice: placement.Choice, elapsed_s: float, now_s: float
@@ -47,28 +47,28 @@
 
     def on_ended(self, choice: placement.Choice) -> None:
         """See base class."""
-        backend_id = choice.backend.backend_id
-        left = self._in_flight.get(backend_id, 0) - 1
+        instance = choice.backend.instance
+        left = self._in_flight.get(instance, 0) - 1
         if left > 0:
-            self._in_flight[backend_id] = left
+            self._in_flight[instance] = left
         else:
-            self._in_flight.pop(backend_id, None)
+            self._in_flight.pop(instance, None)
 
     def on_peer_sent(
         self,
-        backend_id: str,
+        instance: str,
         parts: Sequence[request_lib.PromptPart],
         new_tokens: int,
         now_s: float,
     ) -> None:
         """See base class."""
 
-    def retain(self, backend_ids: Collection[str]) -> None:
+    def retain(self, instances: Collection[str]) -> None:
         """See base class."""
 
     def _preference(
         self, backend: backend_lib.Backend
     ) -> tuple[float, bool, float]:
-        load = self._in_flight.get(backend.backend_id, 0)
+        load = self._in_flight.get(backend.instance, 0)
         remote = backend.failure_domain != self._failure_domain
         return load / max(1, backend.slots), remote, self._rng.random()
--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -9,14 +9,14 @@
 
     Attributes:
       service: Service of the engine.
-      backend_id: Id of the engine.
+      instance: Start of the engine.
       part_ids: Ids of the prompt's parts in order.
       part_tokens: Tokens of each part.
       new_tokens: Tokens that the engine is expected to read.
     """
 
     service: str
-    backend_id: str
+    instance: str
     part_ids: list[str]
     part_tokens: list[int]
     new_tokens: int
--- a/hibiscuspass/core/forwarding/placement.py
+++ b/hibiscuspass/core/forwarding/placement.py
@@ -59,13 +59,20 @@
     @abc.abstractmethod
     def on_peer_sent(
         self,
-        backend_id: str,
+        instance: str,
         parts: Sequence[request_lib.PromptPart],
         new_tokens: int,
         now_s: float,
     ) -> None:
-        """Records that a peer sent a request."""
+        """Records that a peer sent a request.
+
+        Args:
+          instance: Start of the server, see `backend.Backend.instance`.
+          parts: Parts of the prompt.
+          new_tokens: Prompt tokens that the server is expected to read.
+          now_s: Present time.
+        """
 
     @abc.abstractmethod
-    def retain(self, backend_ids: Collection[str]) -> None:
+    def retain(self, instances: Collection[str]) -> None:
         """Forgets all servers but the known ones."""
--- a/hibiscuspass/core/forwarding/placements.py
+++ b/hibiscuspass/core/forwarding/placements.py
@@ -43,7 +43,7 @@
 
     def retain(self, backends: Sequence[backend_lib.Backend]) -> None:
         """Forgets all servers but the known ones."""
-        ids = [b.backend_id for b in backends]
+        ids = [b.instance for b in backends]
         self._ejection.retain(ids)
         for each in self._placements.values():
             each.retain(ids)
@@ -61,20 +61,20 @@
         sound = [
             b
             for b in usable
-            if self._rng.random() < self._ejection.weight(b.backend_id, now_s)
+            if self._rng.random() < self._ejection.weight(b.instance, now_s)
         ]
         if not usable:
             return None
         return self.of(service).choose(req, sound or usable, now_s)
 
     def on_result(
-        self, backend_id: str, *, succeeded: bool, now_s: float
+        self, instance: str, *, succeeded: bool, now_s: float
     ) -> None:
         """Records whether a server answered soundly."""
         if succeeded:
-            self._ejection.on_success(backend_id, now_s)
+            self._ejection.on_success(instance, now_s)
         else:
-            self._ejection.on_failure(backend_id, now_s)
+            self._ejection.on_failure(instance, now_s)
 
 
 def make_placements(failure_domain: str, seed: int) -> Placements:
--- a/hibiscuspass/core/forwarding/prompt_cost.py
+++ b/hibiscuspass/core/forwarding/prompt_cost.py
@@ -79,7 +79,7 @@
         near = [b for cost, b in costs if cost <= least + self._cfg.near_s]
         local = [b for b in near if b.failure_domain == self._failure_domain]
         backend = self._rng.choice(local or near)
-        state = self._state(backend.backend_id)
+        state = self._state(backend.instance)
         new_tokens = self._new_tokens(req, state)
         expected_s = self._wait_s(state, now_s) + self._read_s(
             new_tokens, state
@@ -93,7 +93,7 @@
         now_s: float,
     ) -> None:
         """See base class."""
-        state = self._state(choice.backend.backend_id)
+        state = self._state(choice.backend.instance)
         state.in_flight += 1
         self._add_work(state, req.prompt_parts, choice.new_tokens, now_s)
 
@@ -101,7 +101,7 @@
         self, choice: placement.Choice, elapsed_s: float, now_s: float
     ) -> None:
         """See base class."""
-        state = self._state(choice.backend.backend_id)
+        state = self._state(choice.backend.instance)
         weight = self._cfg.rate_weight
         if choice.expected_s > 0:
             ratio = elapsed_s / choice.expected_s
@@ -116,34 +116,34 @@
 
     def on_ended(self, choice: placement.Choice) -> None:
         """See base class."""
-        state = self._engines.get(choice.backend.backend_id)
+        state = self._engines.get(choice.backend.instance)
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
 
     def on_peer_sent(
         self,
-        backend_id: str,
+        instance: str,
         parts: Sequence[request_lib.PromptPart],
         new_tokens: int,
         now_s: float,
     ) -> None:
         """See base class."""
-        self._add_work(self._state(backend_id), parts, new_tokens, now_s)
+        self._add_work(self._state(instance), parts, new_tokens, now_s)
 
-    def retain(self, backend_ids: Collection[str]) -> None:
+    def retain(self, instances: Collection[str]) -> None:
         """See base class."""
-        known = frozenset(backend_ids)
+        known = frozenset(instances)
         self._engines = {
             name: state
             for name, state in self._engines.items()
             if name in known
         }
 
-    def _state(self, backend_id: str) -> _EngineState:
-        state = self._engines.get(backend_id)
+    def _state(self, instance: str) -> _EngineState:
+        state = self._engines.get(instance)
         if state is None:
             state = _EngineState(prompt_memory.PromptMemory(self._capacity))
-            self._engines[backend_id] = state
+            self._engines[instance] = state
         return state
 
     def _cost(
@@ -152,7 +152,7 @@
         backend: backend_lib.Backend,
         now_s: float,
     ) -> float:
-        state = self._state(backend.backend_id)
+        state = self._state(backend.instance)
         read_s = self._read_s(self._new_tokens(req, state), state)
         return (
             self._wait_s(state, now_s)
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -128,7 +128,7 @@
         """Records the end of an answer."""
         self._placements.of(answer.service).on_ended(answer.choice)
         self._placements.on_result(
-            answer.choice.backend.backend_id,
+            answer.choice.backend.instance,
             succeeded=succeeded,
             now_s=time.monotonic(),
         )
@@ -235,7 +235,7 @@
         tries.last_failure = failure.detail
         if not failure.is_busy:
             self._placements.on_result(
-                backend.backend_id, succeeded=False, now_s=time.monotonic()
+                backend.instance, succeeded=False, now_s=time.monotonic()
             )
         if failure.is_leaving:
             self._backends.on_leaving(backend.backend_id)
--- a/hibiscuspass/gateway/dispatch_news.py
+++ b/hibiscuspass/gateway/dispatch_news.py
@@ -47,7 +47,7 @@
             return
         msg = messages.Sent(
             service.name,
-            choice.backend.backend_id,
+            choice.backend.instance,
             [p.part_id for p in req.prompt_parts],
             [p.tokens for p in req.prompt_parts],
             choice.new_tokens,
@@ -76,6 +76,6 @@
                 )
             )
             self._placements.of(service).on_peer_sent(
-                msg.backend_id, parts, msg.new_tokens, time.monotonic()
+                msg.instance, parts, msg.new_tokens, time.monotonic()
             )
         return messages.SentAccepted()
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -8,10 +8,10 @@
 import attrs
 import yarl
 
-from hibiscuspass.backends import sockets
 from hibiscuspass.core import run_state
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.gateway import call as call_lib
+from hibiscuspass.gateway import upstream_protocol
 from hibiscuspass.platform import headers as names
 
 # Longest time to wait for a connection; further bounded by a part of the
@@ -55,12 +55,7 @@
 
     def __init__(self) -> None:
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=_IDLE_S,
-                use_dns_cache=False,
-                socket_factory=sockets.make_socket,
-            ),
+            connector=upstream_protocol.make_connector(_IDLE_S),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_NO_AUTO_HEADERS,
--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,75 @@
+"""A backend server that sends given bytes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import socket
+import struct
+
+import attrs
+
+
+@attrs.define
+class Runner:
+    """Answers each request with the next script.
+
+    Attributes:
+      address: `host:port`.
+      scripts: Bytes of each answer.
+      reset: Whether connections are reset after an answer.
+      close: Whether connections are closed after an answer.
+      requests: Heads of the requests received.
+    """
+
+    address: str = ""
+    scripts: list[bytes] = attrs.field(factory=list)
+    reset: bool = False
+    close: bool = False
+    requests: list[bytes] = attrs.field(factory=list)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(self.scripts.pop(0))
+                await writer.drain()
+                if self.reset:
+                    # Time for the answer to arrive before the reset.
+                    await asyncio.sleep(0.05)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(
+                        socket.SOL_SOCKET,
+                        socket.SO_LINGER,
+                        struct.pack("ii", 1, 0),
+                    )
+                if self.reset or self.close:
+                    break
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def running() -> AsyncIterator[Runner]:
+    """Starts a runner on loopback."""
+    runner = Runner()
+    server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    runner.address = f"{host}:{port}"
+    try:
+        yield runner
+    finally:
+        server.close()
+
+
+def answer(
+    attempt_id: str = "a1",
+    *,
+    status: str = "200 OK",
+    headers: tuple[str, ...] = ("X-Server-Stamp: s", "Content-Length: 2"),
+    body: bytes = b"ok",
+) -> bytes:
+    """Returns the bytes of an answer."""
+    lines = [f"HTTP/1.1 {status}", f"X-Attempt-Id: {attempt_id}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
