Reload settings, log without blocking, and test the gateway as a process

A reload signal ended the process, since nothing handled it. Settings are now read again on the signal and when the file changes. Log lines go to standard output through a bounded queue; dropped lines are counted. Servers that accept no connection are left out at once and don't use up a request's attempts.

--- a/hibiscuspass/core/forwarding/placements.py
+++ b/hibiscuspass/core/forwarding/placements.py
@@ -67,6 +67,10 @@
             return None
         return self.of(service).choose(req, sound or usable, now_s)
 
+    def on_unreachable(self, instance: str, now_s: float) -> None:
+        """Records that a server accepts no connections."""
+        self._ejection.eject(instance, now_s)
+
     def on_result(
         self, instance: str, *, succeeded: bool, now_s: float
     ) -> None:
--- a/hibiscuspass/core/forwarding/repeat_budget.py
+++ b/hibiscuspass/core/forwarding/repeat_budget.py
@@ -30,10 +30,14 @@
 
 
 class RepeatBudget:
-    """Counts requests and repeats of one service in a sliding window."""
+    """Counts requests and repeats of one service in a sliding window.
+
+    Attributes:
+      cfg: Limit in force.
+    """
 
     def __init__(self, cfg: RepeatConfig) -> None:
-        self._cfg = cfg
+        self.cfg = cfg
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
@@ -50,9 +54,9 @@
           now_s: Present time in seconds.
         """
         self._expire(now_s)
-        limit = self._cfg.safety * (
-            self._cfg.ratio * len(self._requests)
-            + self._cfg.slack / max(1, routers)
+        limit = self.cfg.safety * (
+            self.cfg.ratio * len(self._requests)
+            + self.cfg.slack / max(1, routers)
         )
         if len(self._repeats) + 1 > limit:
             return False
@@ -61,5 +65,23 @@
 
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._repeats):
-            while times and times[0] <= now_s - self._cfg.window_s:
+            while times and times[0] <= now_s - self.cfg.window_s:
                 times.popleft()
+
+
+class RepeatBudgets:
+    """One repeat budget a service."""
+
+    def __init__(self, cfg: RepeatConfig) -> None:
+        self._cfg = cfg
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def of(self, service: str) -> RepeatBudget:
+        """Returns the budget of a service."""
+        return self._budgets.setdefault(service, RepeatBudget(self._cfg))
+
+    def set_config(self, cfg: RepeatConfig) -> None:
+        """Sets changed limits; what was counted stays."""
+        self._cfg = cfg
+        for budget in self._budgets.values():
+            budget.cfg = cfg
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -28,6 +28,8 @@
 
 # A caller that comes back later than this finds other servers free.
 _RETRY_AFTER_S = 0.5
+# Servers that may be unreachable before a request is given up.
+_MAX_UNREACHABLE = 3
 
 
 @attrs.frozen
@@ -55,7 +57,7 @@
         upstream: upstream_lib.Upstream,
         backends: backend_set.BackendSet,
         placements: placements_lib.Placements,
-        repeats: repeat_budget.RepeatConfig,
+        repeats: repeat_budget.RepeatBudgets,
         table: Callable[[], route_table.RouteTable | None],
         fleet: fleet_lib.Fleet,
         news: dispatch_news.DispatchNews,
@@ -63,8 +65,7 @@
         self._upstream = upstream
         self._backends = backends
         self._placements = placements
-        self._repeat_cfg = repeats
-        self._repeats: dict[str, repeat_budget.RepeatBudget] = {}
+        self._repeats = repeats
         self._table = table
         self._fleet = fleet
         self._news = news
@@ -168,13 +169,16 @@
     ) -> refusal.Refusal | None:
         """Returns why a request must not be sent (again)."""
         now_s = time.monotonic()
-        budget = self._repeats.setdefault(
-            service.name, repeat_budget.RepeatBudget(self._repeat_cfg)
-        )
+        budget = self._repeats.of(service.name)
         if not tries.sends:
             budget.on_request(now_s)
             return None
-        if len(tries.tried) >= tries.max_attempts:
+        if tries.unreachable >= _MAX_UNREACHABLE:
+            return self._give_up(tries, "no server was reached")
+        if tries.arrivals < tries.sends and not tries.arrivals:
+            # Nothing arrived yet, so this is still the first send.
+            return None
+        if tries.arrivals >= tries.max_attempts:
             return self._give_up(tries, "no attempts left")
         if not budget.try_repeat(self._fleet.size, now_s):
             return self._give_up(tries, "the repeat budget is used up")
@@ -233,7 +237,10 @@
         failure: upstream_lib.Failure,
     ) -> None:
         tries.last_failure = failure.detail
-        if not failure.is_busy:
+        if failure.is_unreachable:
+            tries.unreachable += 1
+            self._placements.on_unreachable(backend.instance, time.monotonic())
+        elif not failure.is_busy:
             self._placements.on_result(
                 backend.instance, succeeded=False, now_s=time.monotonic()
             )
--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -16,7 +16,7 @@
 
 _READ_TIMEOUT_S = 1.5
 # A poll that is held longer than it asked for has lost its connection.
-_POLL_MARGIN_S = 0.8
+_POLL_MARGIN_S = 0.6
 _PAUSE_S = (0.1, 0.3)
 
 
--- a/hibiscuspass/gateway/main.py
+++ b/hibiscuspass/gateway/main.py
@@ -3,42 +3,59 @@
 import asyncio
 from collections.abc import Sequence
 import os
+import signal
 import sys
 
-from hibiscuspass.gateway import process
+from hibiscuspass.platform import environment
 from hibiscuspass.settings import gateway as settings_lib
 from hibiscuspass.settings import loader
-from hibiscuspass.telemetry import logs
-from hibiscuspass.telemetry import signals
 
-# Where the platform tells a process the path of its settings file.
-_PATH_VARIABLE = "HIBISCUSPASS_CONFIG"
 _EXIT_BAD_SETTINGS = 2
 
 
-async def _run(cfg: settings_lib.GatewaySettings) -> int:
-    gateway = process.GatewayProcess(cfg)
-    logs.configure(cfg.logging, str(gateway.process))
+async def _run(
+    cfg: settings_lib.GatewaySettings, path: str | None = None
+) -> int:
+    # These take most of the start-up; signals are handled before.
+    from hibiscuspass.gateway import process
+    from hibiscuspass.gateway import settings_watch
+    from hibiscuspass.platform import store as store_lib
+    from hibiscuspass.telemetry import log_writer
+    from hibiscuspass.telemetry import logs
+
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopped.set)
+    gateway = process.GatewayProcess(cfg, store_lib.make_store(cfg.store))
+    writer = log_writer.LogWriter(sys.stdout.fileno())
+    logs.configure(cfg.logging, str(gateway.process), writer)
     await gateway.start()
-    await signals.wait_for_stop()
+    watch = settings_watch.SettingsWatch(path, gateway.reload)
+    loop.add_signal_handler(signal.SIGHUP, watch.check_now)
+    watching = asyncio.create_task(watch.run())
+    await stopped.wait()
+    watching.cancel()
     await gateway.stop()
     return 0
 
 
-def _run_from_environment(path: str) -> int:
+def _run_file(path: str) -> int:
     loaded = loader.load(path, settings_lib.GatewaySettings)
     if isinstance(loaded, loader.SettingsError):
         print(loaded, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
-    return asyncio.run(_run(loaded))
+    return asyncio.run(_run(loaded, path))
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Parses the command line and runs the gateway."""
+    # A reload before the start-up is done has nothing to reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = sys.argv[1:] if argv is None else argv
-    path = os.environ.get(_PATH_VARIABLE)
+    path = os.environ.get(environment.SETTINGS_PATH)
     if path and not arguments:
-        return _run_from_environment(path)
+        return _run_file(path)
     # Only needed with arguments; its import takes memory on small VMs.
     from hibiscuspass.settings import program
 
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -40,6 +40,8 @@
 _PEER_TIMEOUT_S = 0.3
 # Peers that are asked for a loan at the same time.
 _PEERS_AT_ONCE = 4
+# When a caller should come back while tokens are out of reach.
+_RETRY_AFTER_S = 2.0
 # How long a fruitless search for tokens answers for later requests.
 _DRY_S = 0.4
 
@@ -364,6 +366,12 @@
 
 
 def _refuse(why: reason_lib.Reason) -> refusal.Refusal:
+    # Without the store, new tokens come seconds later at the earliest.
+    retry_after_s = (
+        _RETRY_AFTER_S if why is reason_lib.Reason.BUDGET_UNAVAILABLE else None
+    )
     return refusal.Refusal(
-        why, "the workspace's prepaid tokens don't cover the request"
+        why,
+        "the workspace's prepaid tokens don't cover the request",
+        retry_after_s=retry_after_s,
     )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -11,6 +11,7 @@
 import prometheus_client
 import structlog
 
+from hibiscuspass.backends import txn_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
@@ -37,9 +38,9 @@
 from hibiscuspass.gateway import prepaid_runtime
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.peers import pynng_transport
+from hibiscuspass.platform import headers
 from hibiscuspass.platform import operator_config
 from hibiscuspass.platform import server_list
-from hibiscuspass.platform import store as store_lib
 from hibiscuspass.settings import gateway as settings_lib
 from hibiscuspass.telemetry import recorder as recorder_lib
 
@@ -52,7 +53,7 @@
 _CLOSING_S = 1.0
 _RETRY_AFTER_S = 0.3
 # A poll ends before the loss of its connection would outlast a bound.
-_POLL_SHARE = 0.5
+_POLL_SHARE = 2 / 3
 
 
 _MESSAGE_TYPES = (
@@ -67,14 +68,18 @@
 class GatewayProcess:
     """Wires the parts together and runs them."""
 
-    def __init__(self, cfg: settings_lib.GatewaySettings) -> None:
+    def __init__(
+        self, cfg: settings_lib.GatewaySettings, store: txn_store.TxnStore
+    ) -> None:
         self._cfg = cfg
+        self._store = store
         self.process = incarnation.Incarnation(
             cfg.process.name, os.urandom(6).hex()
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping_since_s: float | None = None
         self._in_progress = 0
+        self._repeats = repeat_budget.RepeatBudgets(_repeat_config(cfg))
         self._idle = asyncio.Event()
         self._idle.set()
         self._metrics = gateway_metrics.GatewayMetrics(
@@ -84,7 +89,6 @@
     async def start(self) -> None:
         """Starts to listen and to follow the store."""
         cfg = self._cfg
-        self._store = store_lib.make_store(cfg.store)
         self._config = config_follower.ConfigFollower(
             operator_config.KEY, operator_config.decode, self._on_table
         )
@@ -92,7 +96,7 @@
             server_list.PREFIX, server_list.decode
         )
         self._fleet = fleet_lib.Fleet(self.process, self._store)
-        self._book = book_lib.Book(
+        self.book = book_lib.Book(
             self.process, cfg.listen.peers, draw_policy.DrawConfig()
         )
         self._upstream = upstream_lib.Upstream()
@@ -118,7 +122,9 @@
         _log.info("started", process=str(self.process))
 
     async def stop(self) -> None:
-        """Stops gracefully within the grace period."""
+        """Stops gracefully within the grace period; later calls do nothing."""
+        if self._stopping_since_s is not None:
+            return
         now_s = time.monotonic()
         self._stopping_since_s = now_s
         _log.info("stopping", in_progress=self._in_progress)
@@ -144,6 +150,18 @@
         await self._store.close()
         _log.info("stopped", in_progress=self._in_progress)
 
+    def reload(self, cfg: settings_lib.GatewaySettings) -> None:
+        """Takes in changed settings; listeners and identity stay."""
+        fixed = ("process", "listen", "store")
+        needs_restart = [
+            name
+            for name in fixed
+            if getattr(cfg, name) != getattr(self._cfg, name)
+        ]
+        self._cfg = cfg
+        self._repeats.set_config(_repeat_config(cfg))
+        _log.info("settings reloaded", needs_restart=needs_restart)
+
     async def _return_tokens(self) -> None:
         if self._prepaid:
             await self._prepaid.close()
@@ -170,7 +188,7 @@
             max_handlers=16,
         )
         self._prepaid = prepaid_runtime.PrepaidRuntime(
-            self._book, self._store, self._transport, self._fleet
+            self.book, self._store, self._transport, self._fleet
         )
         seed = int.from_bytes(
             hashlib.blake2b(str(self.process).encode(), digest_size=8).digest()
@@ -185,9 +203,7 @@
             self._upstream,
             self._servers.backends,
             placements,
-            repeat_budget.RepeatConfig(
-                cfg.repeats.ratio, cfg.repeats.slack, cfg.repeats.window_s
-            ),
+            self._repeats,
             lambda: self._config.table,
             self._fleet,
             news,
@@ -209,7 +225,7 @@
             for w in table.workspaces.values()
             if w.prepaid is not None
         }
-        changed = self._book.on_prepaid(prepaid)
+        changed = self.book.on_prepaid(prepaid)
         if changed:
             _log.info(
                 "prepaid amounts changed",
@@ -254,7 +270,7 @@
         if isinstance(call, refusal.Refusal):
             _log.info(
                 "rejected",
-                request=http.headers.get("X-Attempt-Id"),
+                request=http.headers.get(headers.ATTEMPT_ID),
                 reason=call.reason.value,
                 detail=call.detail,
                 version=table.version,
@@ -268,6 +284,14 @@
         self._tasks.append(task)
 
 
+def _repeat_config(
+    cfg: settings_lib.GatewaySettings,
+) -> repeat_budget.RepeatConfig:
+    return repeat_budget.RepeatConfig(
+        cfg.repeats.ratio, cfg.repeats.slack, cfg.repeats.window_s
+    )
+
+
 def _on_done(task: asyncio.Task[None]) -> None:
     if task.cancelled():
         return
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -41,12 +41,14 @@
       detail: What happened.
       is_leaving: Whether the server said that it is not, or no longer, the
         one that was meant.
+      is_unreachable: Whether no connection could be opened.
       is_busy: Whether the server refused the request because it was full.
     """
 
     run: run_state.RunState
     detail: str
     is_leaving: bool = False
+    is_unreachable: bool = False
     is_busy: bool = False
 
 
@@ -109,7 +111,9 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
-            return Failure(run_state.RunState.NO, f"connect: {exc}")
+            return Failure(
+                run_state.RunState.NO, f"connect: {exc}", is_unreachable=True
+            )
         except (
             aiohttp.ClientError,
             OSError,
--- a/hibiscuspass/telemetry/logs.py
+++ b/hibiscuspass/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs on standard error."""
+"""Structured logs on standard error or another stream."""
 
 from collections.abc import Mapping
 from collections.abc import MutableMapping
@@ -61,13 +61,19 @@
     return redacted
 
 
-def configure(cfg: log_settings.LoggingSettings, process: str) -> None:
+def configure(
+    cfg: log_settings.LoggingSettings,
+    process: str,
+    stream: Any = None,
+) -> None:
     """Sets up logging for the whole process.
 
     Args:
       cfg: Level and format.
       process: `name/start_id`, added to each entry.
+      stream: Text stream for the entries, by default standard error.
     """
+    stream = stream or sys.stderr
     renderer: Any = (
         structlog.processors.JSONRenderer()
         if cfg.format == "json"
@@ -88,12 +94,12 @@
     structlog.configure(
         processors=[*shared, *final],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.bind_contextvars(process=process)
     # Libraries log through the standard module.
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=shared,
--- /dev/null
+++ b/tests/gateway_system.py
@@ -0,0 +1,190 @@
+"""One gateway process in front of scripted backend servers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import json
+import socket
+from typing import Any
+
+import aiohttp
+import attrs
+import yarl
+
+from hibiscuspass.gateway import process as process_lib
+from hibiscuspass.platform import operator_config
+from hibiscuspass.settings import gateway as settings_lib
+from tests import memory_store
+from tests import runner as runner_lib
+
+HOST = "press.example"
+KEY = "key-1"
+_TRIES = 2000
+_PAUSE_S = 0.01
+
+
+def _free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2000,
+        "service": service,
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def config(prepaid: int, version: int = 1) -> bytes:
+    """Returns a configuration with a route of each kind."""
+    data = {
+        "version": version,
+        "routes": [
+            _route("draft", "streaming", "llm"),
+            _route("ask", "streaming", "llm", stream_resume=True),
+            _route("order", "non_idempotent", "app"),
+            _route("status", "idempotent", "app"),
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "engine": {"slots": 8, "kv_capacity": 9000, "stride": 5},
+            },
+            {"name": "app"},
+        ],
+        "tenants": [{"name": "press", "api_keys": [KEY], "prepaid": prepaid}],
+    }
+    return json.dumps(data).encode()
+
+
+@attrs.define
+class System:
+    """A gateway with its surroundings.
+
+    Attributes:
+      gateway: The process.
+      store: Its store.
+      url: Base address for callers.
+      ready_url: Address of the readiness check.
+      runners: Backend servers, all of both services.
+      session: HTTP client of the callers.
+    """
+
+    gateway: process_lib.GatewayProcess
+    store: memory_store.MemoryStore
+    url: str
+    ready_url: str
+    runners: list[runner_lib.Runner]
+    session: aiohttp.ClientSession
+
+    async def send(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        key: str = KEY,
+        tokens: str = "100,50",
+        **headers: str,
+    ) -> aiohttp.ClientResponse:
+        """Sends a caller's request; the answer's body is not read."""
+        names = {k.replace("_", "-"): v for k, v in headers.items()}
+        return await self.session.request(
+            method,
+            yarl.URL(self.url + path, encoded=True),
+            headers={
+                "Host": HOST,
+                "X-Attempt-Id": "a1",
+                "Authorization": f"Bearer {key}",
+                "X-Token-Counts": tokens,
+                "X-Deadline-Ms": "1500",
+                **names,
+            },
+        )
+
+    async def wait_until_ready(self) -> None:
+        """Returns when the gateway takes requests."""
+        await self._wait_for(self._is_ready)
+
+    async def wait_until_drawn(self) -> None:
+        """Returns when the gateway has drawn tokens."""
+
+        async def has_drawn() -> bool:
+            return "prepaid/press" in self.store.items
+
+        await self._wait_for(has_drawn)
+
+    async def _is_ready(self) -> bool:
+        async with self.session.get(self.ready_url) as resp:
+            return resp.status == 200
+
+    async def _wait_for(self, is_done: Callable[[], Awaitable[bool]]) -> None:
+        for _ in range(_TRIES):
+            if await is_done():
+                return
+            await asyncio.sleep(_PAUSE_S)
+        raise TimeoutError(f"not done after {_TRIES} tries")
+
+    @property
+    def heads(self) -> list[bytes]:
+        """Heads of all requests that reached backend servers."""
+        return [head for r in self.runners for head in r.requests]
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *, runners: int = 1, prepaid: int = 10_000, with_config: bool = True
+) -> AsyncIterator[System]:
+    """Starts a gateway and waits until it is ready."""
+    store = memory_store.MemoryStore()
+    if with_config:
+        store.apply({}, {operator_config.KEY: config(prepaid)})
+    async with contextlib.AsyncExitStack() as stack:
+        servers = [
+            await stack.enter_async_context(runner_lib.running())
+            for _ in range(runners)
+        ]
+        for number, server in enumerate(servers):
+            for service in ("llm", "app"):
+                entry = {
+                    "service": service,
+                    "address": server.address,
+                    "state": "ready",
+                    "slots": 4,
+                }
+                key = f"servers/{service}-{number}"
+                store.apply({}, {key: json.dumps(entry).encode()})
+        listen = settings_lib.GatewayListen(
+            *(_free_address() for _ in range(4))
+        )
+        cfg = settings_lib.GatewaySettings(
+            process=settings_lib.GatewayProcess("router-1"),
+            listen=listen,
+            store="127.0.0.1:1",
+            grace_s=1.5,
+        )
+        gateway = process_lib.GatewayProcess(cfg, store)
+        await gateway.start()
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        system = System(
+            gateway,
+            store,
+            f"http://{listen.callers}",
+            f"http://{listen.ready}/v1/ready",
+            servers,
+            session,
+        )
+        if with_config:
+            await system.wait_until_ready()
+        try:
+            yield system
+        finally:
+            await gateway.stop()
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -1,5 +1,6 @@
 """A transactional store in memory, with lost and late writes."""
 
+import asyncio
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -10,6 +11,8 @@
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 
+_POLL_S = 0.02
+
 
 @attrs.frozen
 class PendingWrite:
@@ -84,7 +87,8 @@
     async def poll(
         self, prefix: str, after: int, *, wait_s: float, timeout_s: float
     ) -> txn_store.Changes | refusal.Refusal:
-        """See base class; returns at once."""
+        """See base class; holds the call for a moment only."""
+        await asyncio.sleep(_POLL_S)
         if self.is_down:
             return _down()
         events = tuple(
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -26,11 +26,18 @@
     reset: bool = False
     close: bool = False
     requests: list[bytes] = attrs.field(factory=list)
+    _writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
+
+    async def send_more(self, data: bytes) -> None:
+        """Sends more bytes on the newest connection."""
+        self._writers[-1].write(data)
+        await self._writers[-1].drain()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection."""
+        self._writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
--- /dev/null
+++ b/tests/test_operator_config.py
@@ -0,0 +1,159 @@
+"""The operator's configuration and the list of backend servers."""
+
+import json
+from typing import Any
+
+import pytest
+
+from hibiscuspass.backends import kv_store
+from hibiscuspass.core import refusal
+from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import route as route_lib
+from hibiscuspass.core.forwarding import route_table
+from hibiscuspass.gateway import config_follower
+from hibiscuspass.platform import operator_config
+from hibiscuspass.platform import server_list
+
+
+def _config(version: int = 7, **changes: Any) -> bytes:
+    route = {
+        "name": "drafts",
+        "host": "Drafts.example",
+        "path_prefix": "/a/",
+        "kind": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 600,
+        "priority": 1,
+        "traffic_split": [
+            {"service": "llm", "weight": 90},
+            {"service": "llm2", "weight": 10},
+        ],
+        "max_attempts": 2,
+        "stream_resume": True,
+    }
+    longer = {**route, "name": "longer", "path_prefix": "/a/b/"}
+    config = {
+        "version": version,
+        "routes": [route, longer],
+        "services": [
+            {"name": "llm", "max_connections": 9, "engine": {"stride": 6}},
+            {"name": "llm2", "max_connections": 9},
+        ],
+        "limits": {"max_body_bytes": 99},
+        "tenants": [
+            {"name": "press", "api_keys": ["k1", "k2"], "prepaid": 1000}
+        ],
+        "unknown_field": [],
+    }
+    return json.dumps({**config, **changes}).encode()
+
+
+def _table(**changes: Any) -> route_table.RouteTable:
+    table = operator_config.decode(_config(**changes))
+    assert isinstance(table, route_table.RouteTable)
+    return table
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("drafts.example", "/a/x", "drafts"),
+        ("DRAFTS.example:80", "/a/x", "drafts"),
+        ("drafts.example", "/a/b/x", "longer"),
+        ("drafts.example", "/a", None),
+        ("other.example", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(
+    host: str, path: str, name: str | None
+) -> None:
+    """A request must not go to the route of a shorter prefix."""
+    route = _table().match(host, path)
+    assert (route.name if route else None) == name
+
+
+def test_fields_are_decoded() -> None:
+    """Guards units and names at the platform's boundary."""
+    table = _table()
+    route = table.match("drafts.example", "/a/")
+    assert route is not None
+    assert route.timeout_s == pytest.approx(5.0)
+    assert route.may_repeat
+    assert [s.weight for s in route.shares] == [90, 10]
+    engine = table.services["llm"].engine
+    assert engine is not None
+    assert engine.tokens_per_event == 6
+    assert table.services["llm2"].engine is None
+    assert table.workspace_of("k2") == route_lib.Workspace("press", None, 1000)
+    assert table.workspace_of("k3") is None
+    assert table.limits.max_body_bytes == 99
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"[]",
+        _config(routes=[{"name": "x"}]),
+        _config(version="x"),
+    ],
+)
+def test_unreadable_configuration_is_refused(data: bytes) -> None:
+    """Bad data must not replace the table in force."""
+    assert isinstance(operator_config.decode(data), refusal.Refusal)
+
+
+def test_versions_never_go_back() -> None:
+    """A late or repeated read must not bring back an older version."""
+    tables: list[route_table.RouteTable] = []
+    follower = config_follower.ConfigFollower(
+        operator_config.KEY, operator_config.decode, tables.append
+    )
+    for version in (7, 9, 8, 9, 12):
+        follower.on_list(
+            [kv_store.KeyValue(operator_config.KEY, _config(version), version)]
+        )
+    assert [t.version for t in tables] == [7, 9, 12]
+
+
+_ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "casa-a",
+    "slots": 64,
+    "state": "ready",
+    "sequence": 4,
+    "born": 5000,
+}
+
+
+def test_server_entry_is_decoded() -> None:
+    """Guards the names in the list of backend servers."""
+    backend = server_list.decode("servers/i-1", json.dumps(_ENTRY).encode())
+    assert backend == backend_lib.Backend(
+        "i-1",
+        "llm",
+        "10.0.0.9:8080",
+        "casa-a",
+        64,
+        backend_lib.BackendState.READY,
+        5000,
+    )
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xfe",
+        b"null",
+        json.dumps({**_ENTRY, "state": "odd"}).encode(),
+        json.dumps({**_ENTRY, "address": "nowhere"}).encode(),
+        json.dumps({**_ENTRY, "address": 5}).encode(),
+        json.dumps({**_ENTRY, "slots": "many"}).encode(),
+        json.dumps({"service": "llm"}).encode(),
+    ],
+)
+def test_entries_of_other_writers_name_no_server(data: bytes) -> None:
+    """An unreadable entry must not end the process or be used."""
+    assert server_list.decode("servers/i-1", data) is None
