Log each send and each caller that leaves; count sends and draws

A caller that left caused an error with a traceback in the log, and sends had no line with the inputs that chose the server. Workspaces that are nearly due join a ledger write that another one needs.

--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -14,6 +14,8 @@
 
 # Weight of the newest request in the size of a typical one.
 _TYPICAL_WEIGHT = 0.2
+# Part of the goal below which a workspace joins a write that another one needs.
+_JOIN_BELOW = 0.95
 
 
 @attrs.define
@@ -200,11 +202,21 @@
         )
 
     def planned_changes(self, now_s: float) -> dict[str, int]:
-        """Returns the draws and returns that are due, by workspace."""
+        """Returns the draws and returns that are due, by workspace.
+
+        When one is due, those that would be due soon join its write.
+        """
+        due = self._changes(self._cfg, now_s)
+        if not due:
+            return {}
+        soon = attrs.evolve(self._cfg, refill_below=_JOIN_BELOW)
+        return {**self._changes(soon, now_s), **due}
+
+    def _changes(
+        self, cfg: draw_policy.DrawConfig, now_s: float
+    ) -> dict[str, int]:
         changes = {
-            name: draw_policy.planned_change(
-                self._position(name, now_s), self._cfg
-            )
+            name: draw_policy.planned_change(self._position(name, now_s), cfg)
             for name in self._prepaid
         }
         return {name: change for name, change in changes.items() if change}
--- a/hibiscuspass/core/reason.py
+++ b/hibiscuspass/core/reason.py
@@ -9,6 +9,7 @@
     # Bad input; the request was not run and costs nothing.
     INVALID_REQUEST = "invalid_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TIMEOUT = "body_timeout"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
--- a/hibiscuspass/gateway/answers.py
+++ b/hibiscuspass/gateway/answers.py
@@ -1,6 +1,6 @@
 """Answers of the gateway's own."""
 
-from http import HTTPStatus
+import http
 
 from aiohttp import web
 
@@ -12,25 +12,28 @@
 # 429 and 503 promise that the request has not run and never will; 502 and 504
 # promise nothing.
 _STATUS = {
-    _Reason.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
-    _Reason.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
-    _Reason.BUDGET_EXHAUSTED: HTTPStatus.PAYMENT_REQUIRED,
-    _Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
-    _Reason.BODY_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
-    _Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    _Reason.BACKEND_LOST: HTTPStatus.BAD_GATEWAY,
-    _Reason.BACKEND_TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
-    _Reason.BUDGET_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.NO_BACKEND: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.BACKEND_REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.BACKEND_UNREACHABLE: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
-    _Reason.SHUTTING_DOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.INVALID_REQUEST: http.HTTPStatus.BAD_REQUEST,
+    _Reason.UNAUTHENTICATED: http.HTTPStatus.UNAUTHORIZED,
+    _Reason.BUDGET_EXHAUSTED: http.HTTPStatus.PAYMENT_REQUIRED,
+    _Reason.NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    _Reason.BODY_TIMEOUT: http.HTTPStatus.REQUEST_TIMEOUT,
+    _Reason.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    _Reason.HEADERS_TOO_LARGE: (
+        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    ),
+    _Reason.BACKEND_LOST: http.HTTPStatus.BAD_GATEWAY,
+    _Reason.BACKEND_TIMEOUT: http.HTTPStatus.GATEWAY_TIMEOUT,
+    _Reason.BUDGET_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.NO_BACKEND: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.BACKEND_REFUSED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.BACKEND_UNREACHABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.DEADLINE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.NOT_READY: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    _Reason.SHUTTING_DOWN: http.HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
-def status_of(why: refusal.Refusal) -> HTTPStatus:
+def status_of(why: refusal.Refusal) -> http.HTTPStatus:
     """Returns the status that tells a caller about a refusal.
 
     Raises:
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -22,6 +22,7 @@
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import dispatch_news
 from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import upstream as upstream_lib
 
 _log = structlog.get_logger(__name__)
@@ -61,6 +62,7 @@
         table: Callable[[], route_table.RouteTable | None],
         fleet: fleet_lib.Fleet,
         news: dispatch_news.DispatchNews,
+        metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._upstream = upstream
         self._backends = backends
@@ -69,6 +71,7 @@
         self._table = table
         self._fleet = fleet
         self._news = news
+        self._metrics = metrics
         self._rng = random.Random()
         self._backends_version = -1
 
@@ -214,6 +217,17 @@
         tries.may_have_run = True
         placement.on_sent(call.req, choice, sent_s)
         self._news.announce(service, call.req, choice)
+        _log.info(
+            "sent",
+            request=call.req.attempt_id,
+            route=call.route.name,
+            version=call.version,
+            backend=backend.backend_id,
+            send=tries.sends,
+            new_tokens=choice.new_tokens,
+            expected_ms=round(choice.expected_s * 1000),
+            servers_version=self._backends.version,
+        )
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
             outcome = await self._upstream.send(
@@ -223,7 +237,9 @@
             if not isinstance(outcome, aiohttp.ClientResponse):
                 placement.on_ended(choice)
         if not isinstance(outcome, upstream_lib.Failure):
+            self._metrics.on_send("answered")
             return Answer(outcome, choice, service, sent_s)
+        self._metrics.on_send(outcome.run.value)
         if outcome.run is run_state.RunState.NO:
             tries.may_have_run = ran_before
         self._on_failure(call, backend, tries, outcome)
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -23,6 +23,8 @@
 # Part of the time that a caller has left which a search for prepaid tokens
 # may take.
 _BUDGET_SEARCH_SHARE = 0.125
+# Never sent; the caller's connection is gone.
+_CLIENT_CLOSED = 499
 
 
 class Forwarder:
@@ -52,6 +54,13 @@
                 outcome = await self._run(call, relay, tries)
         except TimeoutError:
             outcome = self._on_timeout(relay, tries)
+        except ConnectionResetError:
+            self._on_caller_left(call, relay, tries)
+            relay.cut()
+            return relay.response or web.Response(status=_CLIENT_CLOSED)
+        except asyncio.CancelledError:
+            self._on_caller_left(call, relay, tries)
+            raise
         finally:
             if hold:
                 used = relay.tokens_used if tries.may_have_run else 0
@@ -135,6 +144,25 @@
             reason_lib.Reason.DEADLINE, "the time is over; not run"
         )
 
+    def _on_caller_left(
+        self,
+        call: call_lib.Call,
+        relay: relay_lib.Relay,
+        tries: attempts_lib.Attempts,
+    ) -> None:
+        latency_s = time.monotonic() - call.req.received_s
+        self._metrics.on_answer(call.route.kind.value, "left", latency_s)
+        _log.info(
+            "caller left",
+            request=call.req.attempt_id,
+            route=call.route.name,
+            backend=tries.last_backend,
+            sends=tries.sends,
+            events=relay.events,
+            first_ms=_since_ms(call, relay.first_event_s),
+            ms=round(latency_s * 1000),
+        )
+
     def _finish(
         self,
         call: call_lib.Call,
@@ -178,7 +206,9 @@
                 ms=round(latency_s * 1000),
             )
             relay.cut()
-            raise ConnectionResetError("the answer of the backend broke off")
+            # The library can't write the end of the answer any more.
+            assert relay.response is not None
+            return relay.response
         return self._refuse(call, outcome, tries)
 
     def _refuse(
--- a/hibiscuspass/gateway/gateway_metrics.py
+++ b/hibiscuspass/gateway/gateway_metrics.py
@@ -24,6 +24,45 @@
             registry=registry,
         )
 
+        self._sends = prometheus_client.Counter(
+            "hibiscuspass_gateway_sends",
+            "Sends to backend servers by what is known of their run.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._draws = prometheus_client.Counter(
+            "hibiscuspass_gateway_draws",
+            "Writes of the prepaid ledger by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._borrowed = prometheus_client.Counter(
+            "hibiscuspass_gateway_borrowed_tokens",
+            "Prepaid tokens borrowed from peers.",
+            registry=registry,
+        )
+        self._version = prometheus_client.Gauge(
+            "hibiscuspass_gateway_config_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+
+    def on_send(self, outcome: str) -> None:
+        """Records the outcome of a send: answered, no, unknown."""
+        self._sends.labels(outcome).inc()
+
+    def on_draw(self, outcome: str) -> None:
+        """Records a write of the prepaid ledger."""
+        self._draws.labels(outcome).inc()
+
+    def on_borrowed(self, tokens: int) -> None:
+        """Records a loan of a peer."""
+        self._borrowed.inc(tokens)
+
+    def on_version(self, version: int) -> None:
+        """Records the configuration in force."""
+        self._version.set(version)
+
     def on_answer(self, kind: str, outcome: str, latency_s: float) -> None:
         """Records the end of a request."""
         self._answers.labels(kind, outcome).inc()
--- a/hibiscuspass/gateway/intake.py
+++ b/hibiscuspass/gateway/intake.py
@@ -82,7 +82,7 @@
     size = sum(len(k) + len(v) + 4 for k, v in http.raw_headers)
     if size > limits.max_header_bytes:
         return _refuse(
-            reason_lib.Reason.BODY_TOO_LARGE,
+            reason_lib.Reason.HEADERS_TOO_LARGE,
             f"headers of {size} bytes; at most {limits.max_header_bytes}",
         )
     if len(http.headers.getall("Host", ())) != 1:
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -18,12 +18,13 @@
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import store_share
 from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.peers import transport as transport_lib
 
 _log = structlog.get_logger(__name__)
 
 # Interval of the regular draws and returns.
-_TICK_S = 0.5
+_TICK_S = 1.0
 # The store answers in milliseconds; a call without an answer is given up
 # early, because its outcome is read back anyway.
 _STORE_TIMEOUT_S = 1.0
@@ -41,7 +42,7 @@
 # Peers that are asked for a loan at the same time.
 _PEERS_AT_ONCE = 4
 # When a caller should come back while tokens are out of reach.
-_RETRY_AFTER_S = 2.0
+_RETRY_AFTER_S = 3.0
 # How long a fruitless search for tokens answers for later requests.
 _DRY_S = 0.4
 
@@ -64,8 +65,10 @@
         store: txn_store.TxnStore,
         transport: transport_lib.Transport,
         fleet: fleet_lib.Fleet,
+        metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self.book = book
+        self._metrics = metrics
         self._store = store
         self._transport = transport
         self._fleet = fleet
@@ -276,6 +279,7 @@
         for workspace, available in lent.available.items():
             self._peer_available[lent.address, workspace] = available
         if new:
+            self._metrics.on_borrowed(new)
             _log.info(
                 "borrowed prepaid tokens",
                 lender=lent.lender,
@@ -338,6 +342,7 @@
     ) -> bool:
         share = self.book.share
         now_s = time.monotonic()
+        self._metrics.on_draw(type(outcome).__name__.lower())
         if isinstance(outcome, txn_store.Committed):
             share.on_committed(txn, outcome.revision)
             _log.info(
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -188,7 +188,11 @@
             max_handlers=16,
         )
         self._prepaid = prepaid_runtime.PrepaidRuntime(
-            self.book, self._store, self._transport, self._fleet
+            self.book,
+            self._store,
+            self._transport,
+            self._fleet,
+            self._metrics,
         )
         seed = int.from_bytes(
             hashlib.blake2b(str(self.process).encode(), digest_size=8).digest()
@@ -207,6 +211,7 @@
             lambda: self._config.table,
             self._fleet,
             news,
+            self._metrics,
         )
         self._forwarder = forwarder_lib.Forwarder(
             self._prepaid, dispatcher, self._metrics
@@ -220,6 +225,7 @@
         return table.services.get(name) if table else None
 
     def _on_table(self, table: route_table.RouteTable) -> None:
+        self._metrics.on_version(table.version)
         prepaid = {
             w.name: w.prepaid
             for w in table.workspaces.values()
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -1,7 +1,7 @@
 """Sends requests to backend servers and judges the heads of their answers."""
 
 import asyncio
-from http import HTTPStatus
+import http
 import time
 
 import aiohttp
@@ -23,10 +23,10 @@
 # Statuses that promise a caller that the request did not run.
 _PROMISES = frozenset(
     {
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -144,17 +144,19 @@
             return Failure(unknown, f"answer to another request: {echoed!r}")
     if (
         names.NOT_EXECUTED in resp.headers
-        or resp.status == HTTPStatus.MISDIRECTED_REQUEST
+        or resp.status == http.HTTPStatus.MISDIRECTED_REQUEST
     ):
         return Failure(
             run_state.RunState.NO,
             f"not executed: status {resp.status}",
-            is_leaving=resp.status == HTTPStatus.MISDIRECTED_REQUEST,
-            is_busy=resp.status != HTTPStatus.MISDIRECTED_REQUEST,
+            is_leaving=resp.status == http.HTTPStatus.MISDIRECTED_REQUEST,
+            is_busy=resp.status != http.HTTPStatus.MISDIRECTED_REQUEST,
         )
     if resp.status in _PROMISES:
         return Failure(unknown, f"status {resp.status} without a proof")
-    succeeded = HTTPStatus.OK <= resp.status < HTTPStatus.MULTIPLE_CHOICES
+    succeeded = (
+        http.HTTPStatus.OK <= resp.status < http.HTTPStatus.MULTIPLE_CHOICES
+    )
     if succeeded and names.STAMP not in resp.headers:
         return Failure(unknown, "success without a signature")
     if "Content-Encoding" in resp.headers:
--- a/hibiscuspass/platform/store.py
+++ b/hibiscuspass/platform/store.py
@@ -7,7 +7,7 @@
 import base64
 from collections.abc import Mapping
 from collections.abc import Sequence
-from http import HTTPStatus
+import http
 import json
 from typing import Any
 
@@ -22,9 +22,12 @@
 
 _log = structlog.get_logger(__name__)
 
-_NOT_DONE = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+_NOT_DONE = (
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
 # A 410 says that the requested part of the history was discarded.
-_HISTORY_GONE = HTTPStatus.GONE
+_HISTORY_GONE = http.HTTPStatus.GONE
 
 
 class StoreClient(txn_store.TxnStore):
@@ -47,9 +50,9 @@
         if isinstance(reply, refusal.Refusal):
             return reply
         status, body = reply
-        if status == HTTPStatus.NOT_FOUND:
+        if status == http.HTTPStatus.NOT_FOUND:
             return kv_store.ReadResult((), int(body.get("current_rev", 0)))
-        if status != HTTPStatus.OK:
+        if status != http.HTTPStatus.OK:
             return _unexpected("kv-key", status)
         return kv_store.ReadResult((_item(body),), int(body["current_rev"]))
 
@@ -67,7 +70,7 @@
             if isinstance(reply, refusal.Refusal):
                 return reply
             status, body = reply
-            if status != HTTPStatus.OK:
+            if status != http.HTTPStatus.OK:
                 return _unexpected("kv-range", status)
             entries += map(_item, body["items"])
             # Pages are not a snapshot; changes since the first page are
@@ -94,7 +97,7 @@
             return refusal.Refusal(
                 reason_lib.Reason.STALE, f"history after {after} is gone"
             )
-        if status != HTTPStatus.OK:
+        if status != http.HTTPStatus.OK:
             return _unexpected("kv-watch", status)
         events = tuple(map(_event, body.get("events", ())))
         return txn_store.Changes(events, int(body["current_rev"]))
@@ -122,9 +125,9 @@
         if isinstance(reply, refusal.Refusal):
             return reply
         status, answer = reply
-        if status == HTTPStatus.OK:
+        if status == http.HTTPStatus.OK:
             return txn_store.Committed(int(answer["revision"]))
-        if status == HTTPStatus.PRECONDITION_FAILED:
+        if status == http.HTTPStatus.PRECONDITION_FAILED:
             items = [
                 _item(i) for i in answer.get("items", ()) if i.get("revision")
             ]
--- a/hibiscuspass/router/http_answer.py
+++ b/hibiscuspass/router/http_answer.py
@@ -19,6 +19,7 @@
 _STATUSES: Mapping[reason.Reason, int] = {
     _R.INVALID_REQUEST: 400,
     _R.BODY_TOO_LARGE: 413,
+    _R.HEADERS_TOO_LARGE: 431,
     _R.BODY_TIMEOUT: 408,
     _R.UNAUTHENTICATED: 401,
     _R.FORBIDDEN: 403,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -113,7 +113,7 @@
 
 
 def test_every_metric_of_the_control_programs_is_documented():
-    text = (_ROOT / "docs" / "operations.md").read_text()
+    text = (_ROOT / "docs" / "OPERATIONS.md").read_text()
     sources = [
         path
         for pattern in ("admin/*.py", "router/config_*.py")
