--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -11,13 +11,16 @@
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
+from hibiscuspass.core.retry import backoff as backoff_lib
 
 _log = structlog.get_logger(__name__)
 
 _READ_TIMEOUT_S = 1.5
 # A poll that is held longer than it asked for has lost its connection.
 _POLL_MARGIN_S = 0.6
-_PAUSE_S = (0.1, 0.3)
+# Pauses between reads while the store is out of reach; the longest one is
+# short against the time that a new configuration may take.
+_BACKOFF = backoff_lib.BackoffConfig(base_s=0.3, factor=2.0, max_s=1.0)
 
 
 class Subscriber(abc.ABC):
@@ -55,17 +58,21 @@
         self._subscriber = subscriber
         self._wait_s = wait_s
         self._in_contact: bool | None = None
+        self._backoff = backoff_lib.Backoff(_BACKOFF, random.Random())
 
     async def run(self) -> None:
         """Follows until cancelled."""
+        failures = 0
         while True:
             result = await self._store.get_prefix(
                 self._prefix, timeout_s=_READ_TIMEOUT_S
             )
             if isinstance(result, refusal.Refusal):
                 self._set_contact(False, result)
-                await asyncio.sleep(random.uniform(*_PAUSE_S))
+                failures += 1
+                await asyncio.sleep(self._backoff.delay_s(failures))
                 continue
+            failures = 0
             self._set_contact(True)
             self._subscriber.on_list(result.entries)
             await self._poll(result.revision)
--- /dev/null
+++ b/tests/test_draw_policy.py
@@ -0,0 +1,134 @@
+"""Sizes of draws and returns, and tokens kept back for urgent requests."""
+
+import attrs
+import pytest
+
+from hibiscuspass.backends import txn_store
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.prepaid import book as book_lib
+from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import store_record
+from tests import memory_store
+
+_CFG = draw_policy.DrawConfig()
+_POSITION = draw_policy.Position(
+    prepaid=1_000_000,
+    drawn_by_all=100_000,
+    available=0,
+    rate_per_s=1000.0,
+    typical=2000,
+    routers=4,
+)
+
+
+def _change(**changes: float) -> int:
+    position = attrs.evolve(_POSITION, **changes)
+    return draw_policy.planned_change(position, _CFG)
+
+
+def test_draw_lasts_for_an_outage() -> None:
+    """Without the store, callers are served from what was drawn before."""
+    assert _change() == _CFG.outage_s * 1000
+
+
+def test_enough_tokens_cause_no_call() -> None:
+    """Calls of the store are limited and priced."""
+    assert _change(available=int(0.9 * _CFG.outage_s * 1000)) == 0
+
+
+def test_no_router_takes_most_of_the_rest() -> None:
+    """What one router holds is lost if it is lost."""
+    drawn = _change(drawn_by_all=960_000, rate_per_s=1e6)
+    assert 0 < drawn <= 2 * _CFG.rest_share * 40_000 / 4
+
+
+def test_idle_router_returns_tokens() -> None:
+    """Tokens must not stay at a router that callers have left."""
+    assert _change(available=300_000, rate_per_s=10.0) < -200_000
+
+
+def test_lowered_amount_is_given_back() -> None:
+    """After a lower amount, tokens above it must not be used."""
+    assert _change(available=50_000, prepaid=80_000) == -20_000
+
+
+@pytest.mark.parametrize(
+    ("tokens", "drawn_by_all", "enough"),
+    [(5000, 990_000, True), (5000, 996_000, False), (5000, 1_000_000, False)],
+)
+def test_urgent_draw_covers_the_request_or_nothing(
+    tokens: int, drawn_by_all: int, enough: bool
+) -> None:
+    """A draw that does not help its request strands tokens."""
+    position = attrs.evolve(_POSITION, drawn_by_all=drawn_by_all)
+    drawn = draw_policy.urgent_draw(position, tokens, _CFG)
+    assert (drawn >= tokens) == enough
+    assert enough or drawn == 0
+
+
+def _book(name: str = "router-1") -> book_lib.Book:
+    book = book_lib.Book(
+        incarnation.Incarnation(name, "1"), "10.0.0.1:7000", _CFG
+    )
+    book.routers = 2
+    return book
+
+
+def _draw(
+    book: book_lib.Book, store: memory_store.MemoryStore, tokens: int
+) -> None:
+    txn = book.share.plan({"press": tokens}, book.used())
+    outcome = store.apply(txn.expected, txn.writes)
+    assert isinstance(outcome, txn_store.Committed)
+    book.share.on_committed(txn, outcome.revision)
+    book.sync_drawn(0.0)
+
+
+def test_scarce_tokens_go_to_urgent_requests() -> None:
+    """Long drafts must not use up what quick questions need in an outage."""
+    book, store = _book(), memory_store.MemoryStore()
+    book.on_prepaid({"press": 60_000})
+    _draw(book, store, 60_000)
+    for step in range(20):
+        hold = book.hold("press", 500, 0, step * 0.5)
+        assert hold is not None
+        book.settle(hold, 500, step * 0.5)
+    kept = book.reserve("press", 1, 10.0)
+    assert kept > 0
+    assert book.reserve("press", 0, 10.0) == 0
+    available = book.available("press")
+    assert book.hold("press", available - kept + 1, 1, 10.0) is None
+    assert book.hold("press", available - kept, 1, 10.0) is not None
+    assert book.hold("press", kept, 0, 10.0) is not None
+
+
+def test_loans_for_less_urgent_requests_leave_the_reserve() -> None:
+    """A peer's long drafts must not take what is kept for quick questions."""
+    book, store = _book(), memory_store.MemoryStore()
+    book.on_prepaid({"press": 60_000})
+    _draw(book, store, 50_000)
+    for step in range(20):
+        book.hold("press", 500, 0, step * 0.5)
+    peer = incarnation.Incarnation("router-2", "1")
+    available, kept = book.available("press"), book.reserve("press", 1, 10.0)
+    lent = book.lend(peer, messages.Borrow("press", 90_000, 0, 1), 10.0)
+    assert lent.totals["press"] == available - kept
+    urgent = book.lend(peer, messages.Borrow("press", 90_000, 0, 0), 10.0)
+    assert urgent.totals["press"] == available
+
+
+def test_rates_outlive_a_start() -> None:
+    """After all routers lost power, urgent requests still come first."""
+    old = store_record.RouterRecord(
+        "10.0.0.1:7000", rates={"press": {0: 300.0, 1: 2000.0}}
+    )
+    book = _book()
+    book.on_prepaid({"press": 1_000_000})
+    book.on_records([old, old])
+    assert book.reserve("press", 1, 0.0) == pytest.approx(
+        _CFG.outage_s * 300.0, rel=0.01
+    )
+    assert book.planned_changes(0.0)["press"] == pytest.approx(
+        _CFG.outage_s * 2300.0, rel=0.01
+    )
--- a/tests/test_prepaid_ledger.py
+++ b/tests/test_prepaid_ledger.py
@@ -39,9 +39,9 @@
     return self.lent[peer] + wanted
 
 
-def _hold_unchecked(self: account.Account, tokens: int) -> bool:
-    self.held += tokens
-    return True
+def _available_without_holds(self: account.Account) -> int:
+    received, lent = sum(self.received.values()), sum(self.lent.values())
+    return self.drawn + received - lent - self.used
 
 
 def _drawn_without_doubt(self: store_share.StoreShare, workspace: str) -> int:
@@ -75,7 +75,11 @@
         _receive_adds,
     ),
     "more is lent than there is": (account.Account, "lend", _lend_unbounded),
-    "a hold ignores the room": (account.Account, "hold", _hold_unchecked),
+    "open requests do not count": (
+        account.Account,
+        "available",
+        property(_available_without_holds),
+    ),
     "a return without an answer counts as not done": (
         store_share.StoreShare,
         "drawn",
