Tie loans of prepaid tokens to the borrower's start

Cause: a router that stops while the store is away lends everything to a peer. If the peer had started again, its new start took in the total that an earlier start had received and used. Found by reading; the search over the ledger finds it as a mutant now that messages reach the next start of a borrower.

Ruled out: answers to a request for a loan, which name the asking start. Conclusion: totals name the start they are for.

--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -172,7 +172,7 @@
         acc = self._entry(ask.workspace, now_s).account
         kept = self.reserve(ask.workspace, ask.priority, now_s)
         total = acc.lend(peer, ask.least, ask.wanted, kept)
-        return self._lent({ask.workspace: total}, {ask.workspace: acc})
+        return self._lent(peer, {ask.workspace: total}, {ask.workspace: acc})
 
     def lend_everything(
         self, peer: incarnation.Incarnation
@@ -187,18 +187,16 @@
             name: acc.lend(peer, acc.available, 0)
             for name, acc in accounts.items()
         }
-        return self._lent(totals, accounts) if totals else None
+        return self._lent(peer, totals, accounts) if totals else None
 
-    def receive(
-        self,
-        peer: incarnation.Incarnation,
-        totals: Mapping[str, int],
-        now_s: float,
-    ) -> int:
-        """Takes in loans; returns the number of new tokens."""
+    def receive(self, lent: messages.Lent, now_s: float) -> int:
+        """Takes in loans to this start; returns the number of new tokens."""
+        if lent.borrower != str(self._process):
+            return 0
+        lender = incarnation.parse(lent.lender)
         return sum(
-            self._entry(name, now_s).account.receive(peer, total)
-            for name, total in totals.items()
+            self._entry(name, now_s).account.receive(lender, total)
+            for name, total in lent.totals.items()
         )
 
     def planned_changes(self, now_s: float) -> dict[str, int]:
@@ -289,6 +287,7 @@
 
     def _lent(
         self,
+        peer: incarnation.Incarnation,
         totals: Mapping[str, int],
         accounts: Mapping[str, account.Account],
     ) -> messages.Lent:
@@ -296,5 +295,6 @@
             totals=dict(totals),
             available={name: acc.available for name, acc in accounts.items()},
             lender=str(self._process),
+            borrower=str(peer),
             address=self._address,
         )
--- a/hibiscuspass/core/prepaid/messages.py
+++ b/hibiscuspass/core/prepaid/messages.py
@@ -28,12 +28,15 @@
       totals: Total lent since the start of both processes, by workspace.
       available: Tokens that remain at the sender, by workspace.
       lender: Sender, in the `name/start_id` form.
+      borrower: Start of a router that the totals are for, in the same form;
+        tokens lent to an earlier start are not those of the next one.
       address: `host:port` of the sender's peer link.
     """
 
     totals: dict[str, int]
     available: dict[str, int]
     lender: str
+    borrower: str
     address: str
 
 
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -274,8 +274,7 @@
         return True
 
     def _take_in(self, lent: messages.Lent) -> None:
-        lender = incarnation.parse(lent.lender)
-        new = self.book.receive(lender, lent.totals, time.monotonic())
+        new = self.book.receive(lent, time.monotonic())
         for workspace, available in lent.available.items():
             self._peer_available[lent.address, workspace] = available
         if new:
--- a/tests/prepaid_world.py
+++ b/tests/prepaid_world.py
@@ -224,10 +224,9 @@
             self._receive(*self.rng.choice(self._loans))
 
     def _receive(self, borrower: _Router, lent: messages.Lent) -> None:
-        if borrower in self._routers:
-            borrower.book.receive(
-                incarnation.parse(lent.lender), lent.totals, self._now_s
-            )
+        # The message may reach the next start of the borrower.
+        number = int(borrower.process.name.removeprefix("router-"))
+        self._routers[number].book.receive(lent, self._now_s)
 
     def _kill(self) -> None:
         number = self.rng.randrange(len(self._routers))
--- a/tests/test_prepaid_ledger.py
+++ b/tests/test_prepaid_ledger.py
@@ -6,7 +6,10 @@
 
 import pytest
 
+from hibiscuspass.core import incarnation
 from hibiscuspass.core.prepaid import account
+from hibiscuspass.core.prepaid import book
+from hibiscuspass.core.prepaid import messages
 from hibiscuspass.core.prepaid import store_share
 from tests import prepaid_world
 
@@ -39,6 +42,16 @@
     return self.lent[peer] + wanted
 
 
+def _receive_for_any_start(
+    self: book.Book, lent: messages.Lent, now_s: float
+) -> int:
+    lender = incarnation.parse(lent.lender)
+    return sum(
+        self._entry(name, now_s).account.receive(lender, total)
+        for name, total in lent.totals.items()
+    )
+
+
 def _available_without_holds(self: account.Account) -> int:
     received, lent = sum(self.received.values()), sum(self.lent.values())
     return self.drawn + received - lent - self.used
@@ -74,6 +87,11 @@
         "receive",
         _receive_adds,
     ),
+    "a loan to an earlier start counts": (
+        book.Book,
+        "receive",
+        _receive_for_any_start,
+    ),
     "more is lent than there is": (account.Account, "lend", _lend_unbounded),
     "open requests do not count": (
         account.Account,
