--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -256,32 +256,28 @@
         now_s = time.monotonic()
         table = self._config.table
         if table is None or self._forwarder is None:
-            return answers.make_answer(
+            return _reject(
+                http,
                 refusal.Refusal(
                     reason_lib.Reason.NOT_READY,
                     "no configuration yet",
                     retry_after_s=_RETRY_AFTER_S,
-                )
+                ),
             )
         stopping = self._stopping_since_s
         if stopping is not None and now_s > stopping + _ACCEPT_AFTER_STOP_S:
-            return answers.make_answer(
+            return _reject(
+                http,
                 refusal.Refusal(
                     reason_lib.Reason.SHUTTING_DOWN,
                     "this router stops",
                     retry_after_s=_RETRY_AFTER_S,
-                )
+                ),
+                table.version,
             )
         call = await intake.read_call(http, table, now_s)
         if isinstance(call, refusal.Refusal):
-            _log.info(
-                "rejected",
-                request=http.headers.get(headers.ATTEMPT_ID),
-                reason=call.reason.value,
-                detail=call.detail,
-                version=table.version,
-            )
-            return answers.make_answer(call)
+            return _reject(http, call, table.version)
         return await self._forwarder.forward(http, call)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -290,6 +286,20 @@
         self._tasks.append(task)
 
 
+def _reject(
+    http: web.BaseRequest, why: refusal.Refusal, version: int | None = None
+) -> web.Response:
+    """Answers a request that is not forwarded."""
+    _log.info(
+        "rejected",
+        request=http.headers.get(headers.ATTEMPT_ID),
+        reason=why.reason.value,
+        detail=why.detail,
+        version=version,
+    )
+    return answers.make_answer(why)
+
+
 def _repeat_config(
     cfg: settings_lib.GatewaySettings,
 ) -> repeat_budget.RepeatConfig:
