--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -114,8 +114,8 @@
     def reserve(self, workspace: str, priority: int, now_s: float) -> int:
         """Returns the tokens kept back for more urgent requests.
 
-        Without the store, or near the end of the prepaid amount, tokens get
-        scarce; the more urgent kinds of requests then go on for longest.
+        Near the end of the prepaid amount, the more urgent kinds of requests
+        go on for longest.
         """
         entry = self._entry(workspace, now_s)
         urgent_per_s = sum(
@@ -123,9 +123,8 @@
             for rank, rate in entry.by_priority.items()
             if rank < priority
         )
-        dry = self.undrawn(workspace) < self._cfg.scarce_s * urgent_per_s
-        last_s = self._cfg.scarce_s if dry else self._cfg.outage_s
-        return int(last_s * urgent_per_s)
+        kept = int(self._cfg.scarce_s * urgent_per_s)
+        return kept if self.undrawn(workspace) < kept else 0
 
     def hold(
         self, workspace: str, tokens: int, priority: int, now_s: float
