--- /dev/null
+++ b/tests/test_gateway_lifecycle.py
@@ -0,0 +1,120 @@
+"""Callers that leave, planned stops, reloads, and loans between gateways."""
+
+import asyncio
+import pathlib
+
+import attrs
+import pytest
+
+from hibiscuspass.gateway import settings_watch
+from hibiscuspass.settings import gateway as settings_lib
+from tests import gateway_system
+from tests import runner as runner_lib
+
+_HEAD = runner_lib.answer(
+    headers=("X-Server-Stamp: s", "Transfer-Encoding: chunked"), body=b""
+)
+_EVENT = b"c\r\nid: 0\ndata\n\n\r\n"
+
+
+async def test_caller_that_leaves_ends_the_run() -> None:
+    """A backend server must not work on for a caller that has left."""
+    async with gateway_system.running() as system:
+        runner = system.runners[0]
+        runner.scripts.append(_HEAD + _EVENT)
+        resp = await system.send("/draft/x")
+        resp.close()
+        async with asyncio.timeout(0.5):
+            await runner.wait_closed()
+        await asyncio.sleep(0.05)
+        assert system.gateway.book.used() == {"press": 105}
+
+
+async def test_caller_that_leaves_before_the_answer_ends_the_run() -> None:
+    """The same where the backend server has not answered yet."""
+    async with gateway_system.running() as system:
+        runner = system.runners[0]
+        runner.scripts.append(b"")
+        sending = asyncio.create_task(system.send("/draft/x"))
+        await runner.wait_requested()
+        sending.cancel()
+        async with asyncio.timeout(0.5):
+            await runner.wait_closed()
+        await asyncio.sleep(0.05)
+        assert system.gateway.book.used() == {"press": 100}
+
+
+async def test_late_request_at_a_stop_is_refused_as_not_run() -> None:
+    """A stopping router answers what it has read, and says it did not run."""
+    async with gateway_system.running(grace_s=6.0) as system:
+        runner = system.runners[0]
+        runner.scripts.append(_HEAD + _EVENT)
+        resp = await system.send("/draft/x", X_Deadline_Ms="9000")
+        stopping = asyncio.create_task(system.gateway.stop())
+        # New requests are taken for 3 s.
+        await asyncio.sleep(3.3)
+        late = await system.send("/order/x", method="POST")
+        await runner.send_more(b"0\r\n\r\n")
+        assert await resp.text() == "id: 0\ndata\n\n"
+        await stopping
+    assert late.status == 503
+    assert "Retry-After" in late.headers
+    assert late.headers["Connection"] == "close"
+    assert len(system.heads) == 1
+
+
+async def test_store_outage_is_bridged_by_a_peer() -> None:
+    """Without the store, a router serves from tokens that a peer lends."""
+    async with (
+        gateway_system.running(prepaid=10_000) as first,
+        gateway_system.running(store=first.store, name="router-2") as second,
+    ):
+        await first.wait_until(
+            lambda: first.gateway.book.available("press") > 1000
+        )
+        await second.wait_until(lambda: second.gateway._fleet.size == 2)
+        first.store.is_down = True
+        have = second.gateway.book.available("press")
+        for runner in (*first.runners, *second.runners):
+            runner.scripts.append(_HEAD + _EVENT + b"0\r\n\r\n")
+        resp = await second.send("/draft/x", tokens=f"{have + 300},10")
+        assert resp.status == 200
+        await resp.read()
+        await asyncio.sleep(0.05)
+        used = first.gateway.book.used().get("press", 0)
+        assert used + second.gateway.book.used()["press"] <= 10_000
+        first.store.is_down = False
+
+
+async def test_settings_are_reloaded_when_the_file_changes(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Bad settings leave the old ones in force; good ones are taken in."""
+    path = tmp_path / "gateway.yaml"
+    text = """
+process: {name: router-1}
+listen: {callers: "h:1", ready: "h:2", metrics: "h:3", peers: "h:4"}
+store: "h:5"
+"""
+    path.write_text(text)
+    loaded: list[settings_lib.GatewaySettings] = []
+    watch = settings_watch.SettingsWatch(str(path), loaded.append)
+    path.write_text(text + "grace_s: never\n")
+    watch.check_now()
+    assert loaded == []
+    path.write_text(text + "grace_s: 5\n")
+    watch.check_now()
+    assert [cfg.grace_s for cfg in loaded] == [5.0]
+
+
+@pytest.mark.parametrize("field", ["grace_s", "contact_ms"])
+async def test_reload_keeps_identity(field: str) -> None:
+    """A reload must not change who the process is or where it listens."""
+    async with gateway_system.running() as system:
+        process = system.gateway.process
+        system.gateway.reload(attrs.evolve(system.cfg, **{field: 700.0}))
+        assert system.gateway.process == process
+        system.runners[0].scripts.append(runner_lib.answer())
+        resp = await system.send("/status/x")
+        assert resp.status == 200
+        system.gateway.reload(system.cfg)
