Try a server's own failure once more on another server

Cause: order-status fails for 14% of its calls with a 500 of the server, and the caller got it although the route allows two servers. The repeats' budget now counts all known routers, since a router that is cut off would take the whole slack for itself.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from hibiscuspass.core.forwarding import placement as placement_lib
 from hibiscuspass.core.forwarding import placements as placements_lib
 from hibiscuspass.core.forwarding import repeat_budget
+from hibiscuspass.core.forwarding import retry_on_failure
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.gateway import call as call_lib
@@ -93,11 +94,64 @@
     ) -> Answer | refusal.Refusal:
         """Sends a request until a server answers.
 
+        A server's own failure is tried once more elsewhere where the route
+        allows it; without a better answer the caller gets that failure.
+
         Args:
           call: Request of the caller.
           tries: Earlier sends; updated.
           last_event_id: Event after which a stream goes on.
         """
+        failed: Answer | None = None
+        try:
+            while True:
+                outcome = await self._dispatch_once(call, tries, last_event_id)
+                if not isinstance(outcome, Answer):
+                    kept, failed = failed, None
+                    return kept or outcome
+                if failed is not None or not self._is_worth_another(
+                    call, outcome, tries
+                ):
+                    return outcome
+                failed = outcome
+        finally:
+            if failed is not None:
+                failed.resp.close()
+                self.on_ended(failed, succeeded=True)
+
+    def _is_worth_another(
+        self,
+        call: call_lib.Call,
+        answer: Answer,
+        tries: attempts_lib.Attempts,
+    ) -> bool:
+        """Returns whether another server may do better than an answer."""
+        status = answer.resp.status
+        now_s = time.monotonic()
+        if not retry_on_failure.is_worth_another(
+            call.route,
+            status,
+            elapsed_s=now_s - answer.sent_s,
+            left_s=call.req.deadline_s - now_s,
+        ):
+            return False
+        tries.last_failure = f"status {status}"
+        _log.info(
+            "server failed, asking another",
+            request=call.req.attempt_id,
+            backend=answer.choice.backend.backend_id,
+            status=status,
+            sends=tries.sends,
+        )
+        return True
+
+    async def _dispatch_once(
+        self,
+        call: call_lib.Call,
+        tries: attempts_lib.Attempts,
+        last_event_id: str | None,
+    ) -> Answer | refusal.Refusal:
+        """Sends a request until a server answers in any way."""
         while True:
             service = self._choose_service(call)
             if service is None:
@@ -183,7 +237,7 @@
             return None
         if tries.arrivals >= tries.max_attempts:
             return self._give_up(tries, "no attempts left")
-        if not budget.try_repeat(self._fleet.size, now_s):
+        if not budget.try_repeat(self._fleet.known_size, now_s):
             return self._give_up(tries, "the repeat budget is used up")
         return None
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -106,6 +106,34 @@
     assert [len(r.requests) for r in system.runners] == [1, 1]
 
 
+_FAILED = runner_lib.answer(status="500 Internal Server Error")
+
+
+@pytest.mark.parametrize(
+    ("kind", "second", "status", "sends"),
+    [
+        ("status", runner_lib.answer(), 200, 2),
+        ("status", _FAILED, 500, 2),
+        ("status", b"", 500, 2),
+        ("order", runner_lib.answer(), 500, 1),
+    ],
+)
+async def test_servers_own_failure_is_tried_elsewhere(
+    kind: str, second: bytes, status: int, sends: int
+) -> None:
+    """A failing server costs a repeatable request nothing, others a run."""
+    async with gateway_system.running(runners=2) as system:
+        scripts = [_FAILED, second]
+        for runner in system.runners:
+            runner.scripts = scripts
+            runner.close = True
+        resp = await system.send(f"/{kind}/x")
+        assert resp.status == status
+        assert resp.headers["X-Server-Stamp"] == "s"
+        assert await resp.text() == "ok"
+    assert len(system.heads) == sends
+
+
 @pytest.mark.parametrize("kind", ["order", "draft"])
 async def test_refused_send_may_go_elsewhere(kind: str) -> None:
     """A proof that nothing ran allows another server, for all kinds."""
