Send news between routers over publisher sockets

Cause: each long prompt and each write of the ledger was a request and a reply to every peer, and a limit of 64 pending messages dropped nearly all of them at 62 routers. Routers also send signs of life now; silent peers are not asked for tokens, and connections that went silent are replaced. Ruled out: fewer receivers of each message (a router that doesn't know of a long prompt sends its own to the same engine). In large fleets only longer prompts are told instead.

--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -20,8 +20,3 @@
     part_ids: list[str]
     part_tokens: list[int]
     new_tokens: int
-
-
-@attrs.frozen
-class SentAccepted:
-    """Confirms a `Sent`."""
--- a/hibiscuspass/gateway/dispatch_news.py
+++ b/hibiscuspass/gateway/dispatch_news.py
@@ -8,11 +8,14 @@
 from hibiscuspass.core.forwarding import placements as placements_lib
 from hibiscuspass.core.forwarding import request as request_lib
 from hibiscuspass.core.forwarding import route as route_lib
-from hibiscuspass.gateway import broadcast as broadcast_lib
-from hibiscuspass.peers import transport as transport_lib
+from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.peers import pynng_news
 
 # Shorter readings end before the news of them arrives.
 _LEAST_TOKENS = 1000
+# Each router pays for the news of all, so in a larger fleet only longer
+# prompts are told, in proportion to its size.
+_ROUTERS_AT_LEAST_TOKENS = 16
 
 
 class DispatchNews:
@@ -20,15 +23,16 @@
 
     def __init__(
         self,
-        transport: transport_lib.Transport,
-        broadcast: broadcast_lib.Broadcast,
+        news: pynng_news.PynngNews,
         placements: placements_lib.Placements,
         service_of: placements_lib.ServiceLookup,
+        fleet: fleet_lib.Fleet,
     ) -> None:
-        self._broadcast = broadcast
+        self._fleet = fleet
+        self._news = news
         self._placements = placements
         self._service_of = service_of
-        transport.register(messages.Sent, self._on_sent)
+        news.register(messages.Sent, self._on_sent)
 
     def announce(
         self,
@@ -37,7 +41,8 @@
         choice: placement_lib.Choice,
     ) -> None:
         """Tells all peers of a send, without waiting."""
-        if choice.new_tokens < _LEAST_TOKENS:
+        scale = max(1.0, self._fleet.known_size / _ROUTERS_AT_LEAST_TOKENS)
+        if choice.new_tokens < _LEAST_TOKENS * scale:
             return
         msg = messages.Sent(
             service.name,
@@ -46,11 +51,9 @@
             [p.tokens for p in req.prompt_parts],
             choice.new_tokens,
         )
-        self._broadcast.send(msg, messages.SentAccepted)
+        self._news.publish(msg)
 
-    async def _on_sent(
-        self, _: incarnation.Incarnation, msg: messages.Sent
-    ) -> messages.SentAccepted:
+    def _on_sent(self, _: incarnation.Incarnation, msg: messages.Sent) -> None:
         service = self._service_of(msg.service)
         if service is not None:
             parts = tuple(
@@ -62,4 +65,3 @@
             self._placements.of(service).on_peer_sent(
                 msg.instance, parts, msg.new_tokens, time.monotonic()
             )
-        return messages.SentAccepted()
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -15,7 +15,6 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
-from hibiscuspass.core.forwarding import messages as forwarding_messages
 from hibiscuspass.core.forwarding import placements as placements_lib
 from hibiscuspass.core.forwarding import repeat_budget
 from hibiscuspass.core.forwarding import route as route_lib
@@ -25,7 +24,6 @@
 from hibiscuspass.core.prepaid import messages as prepaid_messages
 from hibiscuspass.gateway import answers
 from hibiscuspass.gateway import backend_follower
-from hibiscuspass.gateway import broadcast as broadcast_lib
 from hibiscuspass.gateway import config_follower
 from hibiscuspass.gateway import dispatch
 from hibiscuspass.gateway import dispatch_news
@@ -38,6 +36,7 @@
 from hibiscuspass.gateway import listener
 from hibiscuspass.gateway import prepaid_runtime
 from hibiscuspass.gateway import upstream as upstream_lib
+from hibiscuspass.peers import pynng_news
 from hibiscuspass.peers import pynng_transport
 from hibiscuspass.platform import headers
 from hibiscuspass.platform import operator_config
@@ -61,9 +60,8 @@
     prepaid_messages.Borrow,
     prepaid_messages.Lent,
     prepaid_messages.Accepted,
-    prepaid_messages.Totals,
-    forwarding_messages.Sent,
-    forwarding_messages.SentAccepted,
+    prepaid_messages.AskAge,
+    prepaid_messages.Age,
 )
 
 
@@ -97,7 +95,9 @@
         self._servers = backend_follower.BackendFollower(
             server_list.PREFIX, server_list.decode
         )
-        self._fleet = fleet_lib.Fleet(self.process, self._store)
+        self._fleet = fleet_lib.Fleet(
+            self.process, cfg.listen.peers, self._store
+        )
         self.book = book_lib.Book(
             self.process, cfg.listen.peers, draw_policy.DrawConfig()
         )
@@ -105,6 +105,7 @@
         self._prepaid: prepaid_runtime.PrepaidRuntime | None = None
         self._forwarder: forwarder_lib.Forwarder | None = None
         self._transport: pynng_transport.PynngTransport | None = None
+        self._news: pynng_news.PynngNews | None = None
         self._server = listener.Listener(
             self._on_request, lambda: self._is_ready, self._metrics.registry
         )
@@ -148,6 +149,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._transport:
             await self._transport.close()
+        if self._news:
+            await self._news.close()
         await self._upstream.close()
         await self._store.close()
         _log.info("stopped", in_progress=self._in_progress)
@@ -189,13 +192,14 @@
             message_types=_MESSAGE_TYPES,
             max_handlers=16,
         )
-        broadcast = broadcast_lib.Broadcast(self._transport, self._fleet)
+        self._news = pynng_news.make_news(self.process, cfg.listen.peers, key)
+        self._fleet.use_news(self._news)
         self._prepaid = prepaid_runtime.PrepaidRuntime(
             self.book,
             self._store,
             self._transport,
             self._fleet,
-            broadcast,
+            self._news,
             self._metrics,
         )
         seed = int.from_bytes(
@@ -205,7 +209,7 @@
             cfg.process.failure_domain, seed
         )
         news = dispatch_news.DispatchNews(
-            self._transport, broadcast, placements, self._service
+            self._news, placements, self._service, self._fleet
         )
         dispatcher = dispatch.Dispatcher(
             self._upstream,
@@ -221,7 +225,9 @@
             self._prepaid, dispatcher, self._metrics
         )
         await self._transport.start()
+        self._news.start()
         self._spawn(self._fleet.run())
+        self._spawn(self._fleet.run_alive())
         self._spawn(self._prepaid.run())
 
     def _service(self, name: str) -> route_lib.Service | None:
--- /dev/null
+++ b/hibiscuspass/peers/pynng_news.py
@@ -0,0 +1,175 @@
+"""Messages to all peers that need no reply, over publisher sockets.
+
+A publisher sends one frame to all its subscribers inside the library, which
+costs far less than a request to each peer.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import time
+from typing import Any
+
+import pynng
+import structlog
+
+from hibiscuspass.core import clock
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import refusal
+from hibiscuspass.peers import codec as codec_lib
+
+_log = structlog.get_logger(__name__)
+
+# Handles a message of a peer.
+Handler = Callable[[incarnation.Incarnation, Any], None]
+
+_RECONNECT_MIN_MS = 100
+_RECONNECT_MAX_MS = 1000
+# Frames that wait for a slow subscriber before newer ones are dropped.
+_SEND_BUFFER = 64
+_RECEIVE_BUFFER = 512
+# Frames that are handled before other tasks get their turn.
+_BATCH = 32
+# News is of use only fresh, so nothing repeats or orders it.
+_NO_TIME = clock.Timestamp(0, 0)
+
+
+def address_of(peer: str) -> str:
+    """Returns where a router publishes, given its peer link.
+
+    Args:
+      peer: `host:port` of the peer link; news is on the next port.
+    """
+    host, _, port = peer.rpartition(":")
+    return f"{host}:{int(port) + 1}"
+
+
+class PynngNews:
+    """Publishes frames of this router and receives those of its peers.
+
+    Lost news does no harm; receivers treat it as a hint or as a sign of life.
+
+    Attributes:
+      published_s: Time of the newest message on the monotonic clock.
+      on_message: Called with the sender of each message.
+    """
+
+    def __init__(self, codec: codec_lib.Codec, listen: str) -> None:
+        self._codec = codec
+        self._listen = listen
+        self._handlers: dict[type, Handler] = {}
+        self._dialers: dict[str, pynng.Dialer] = {}
+        self.on_message: Callable[[incarnation.Incarnation], None] | None = None
+        self._publisher: pynng.Pub0 | None = None
+        self._subscriber: pynng.Sub0 | None = None
+        self._receiver: asyncio.Task[None] | None = None
+        self.published_s = float("-inf")
+
+    def register(self, msg_type: type, handler: Handler) -> None:
+        """Sets the handler of one message type."""
+        self._codec.registry.add(msg_type)
+        self._handlers[msg_type] = handler
+
+    def start(self) -> None:
+        """Starts to listen and to receive."""
+        self._publisher = pynng.Pub0(
+            send_buffer_size=_SEND_BUFFER, async_backend="asyncio"
+        )
+        self._publisher.tcp_nodelay = True
+        self._publisher.listen(f"tcp://{self._listen}")
+        self._subscriber = pynng.Sub0(
+            recv_buffer_size=_RECEIVE_BUFFER,
+            recv_max_size=self._codec.max_message_bytes,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+            async_backend="asyncio",
+        )
+        self._subscriber.tcp_keepalive = True
+        self._subscriber.subscribe(b"")
+        self._receiver = asyncio.create_task(self._receive(self._subscriber))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._receiver:
+            self._receiver.cancel()
+            await asyncio.gather(self._receiver, return_exceptions=True)
+        for socket in (self._publisher, self._subscriber):
+            if socket:
+                socket.close()
+        self._publisher = self._subscriber = None
+
+    def follow(self, addresses: set[str]) -> None:
+        """Connects to new peers and drops those that are not listed.
+
+        Args:
+          addresses: Peer links, `host:port`.
+        """
+        if self._subscriber is None:
+            return
+        for address in self._dialers.keys() - addresses:
+            self.forget(address)
+        for address in addresses - self._dialers.keys():
+            self._dialers[address] = self._subscriber.dial(
+                f"tcp://{address_of(address)}", block=False
+            )
+
+    def forget(self, address: str) -> None:
+        """Closes the connection to a peer; `follow` opens a new one."""
+        dialer = self._dialers.pop(address, None)
+        if dialer:
+            with contextlib.suppress(pynng.NNGException):
+                dialer.close()
+
+    def publish(self, msg: Any) -> None:
+        """Sends a message to all subscribers without waiting."""
+        if self._publisher is None:
+            return
+        frame = self._codec.encode(
+            msg, recipient=None, at=_NO_TIME, exchange=b""
+        )
+        if isinstance(frame, refusal.Refusal):
+            _log.warning("news not sent", detail=frame.detail)
+            return
+        # A full buffer means that no subscriber keeps up.
+        with contextlib.suppress(pynng.TryAgain):
+            self._publisher.send(frame, block=False)
+            self.published_s = time.monotonic()
+
+    async def _receive(self, socket: pynng.Sub0) -> None:
+        while True:
+            try:
+                self._handle(await socket.arecv())
+                with contextlib.suppress(pynng.TryAgain):
+                    for _ in range(_BATCH):
+                        self._handle(socket.recv(block=False))
+            except pynng.Closed:
+                return
+            except pynng.NNGException as exc:
+                _log.warning("news not received", detail=str(exc))
+
+    def _handle(self, frame: bytes) -> None:
+        msg = self._codec.decode(frame)
+        if isinstance(msg, refusal.Refusal):
+            _log.warning("rejected news", detail=msg.detail)
+            return
+        if self.on_message:
+            self.on_message(msg.sender)
+        handler = self._handlers.get(type(msg.body))
+        if handler:
+            handler(msg.sender, msg.body)
+
+
+def make_news(
+    process: incarnation.Incarnation, listen: str, fleet_key: bytes
+) -> PynngNews:
+    """Makes the news channel of one process.
+
+    Args:
+      process: Identity of this process.
+      listen: `host:port` of its peer link.
+      fleet_key: Key that all processes share.
+    """
+    return PynngNews(
+        codec_lib.Codec(process, fleet_key, registry=codec_lib.Registry()),
+        address_of(listen),
+    )
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -31,6 +31,16 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+def _free_pair() -> str:
+    """Returns an address whose next port is free too."""
+    while True:
+        address = _free_address()
+        host, _, port = address.rpartition(":")
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind((host, int(port) + 1))
+            return address
+
+
 def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     return {
         "name": name,
@@ -180,7 +190,7 @@
                 key = f"servers/{service}-{name}-{number}"
                 store.apply({}, {key: json.dumps(entry).encode()})
         listen = settings_lib.GatewayListen(
-            *(_free_address() for _ in range(4))
+            *(_free_address() for _ in range(3)), _free_pair()
         )
         cfg = settings_lib.GatewaySettings(
             process=settings_lib.GatewayProcess(name),
