Take over the tokens that a lost router had drawn but not used

A record now has limits that hold until a router has not reached the store for 3.5 s; the next start takes over what lies beyond them if peers show that the record was younger than that when the router ended. Ruled out: leases (the platform may pause them in an outage), the revision at which a record arrived (a lost write may arrive late), no room below the limits (each request then needs a write), 30 s of reserve for urgent kinds (drafts were refused with 260,000 tokens at hand). A few routers per workspace hold its tokens in fleets of more than ten; that part is not measured yet and changes nothing in smaller ones.

--- a/hibiscuspass/core/prepaid/account.py
+++ b/hibiscuspass/core/prepaid/account.py
@@ -23,6 +23,7 @@
       held: Tokens that running requests may use at most.
       lent: Total lent to each peer.
       received: Total received from each peer.
+      limit: Largest `consumed`, see `seal.Seal`; None without a limit.
     """
 
     drawn: int = 0
@@ -30,18 +31,30 @@
     held: int = 0
     lent: dict[incarnation.Incarnation, int] = attrs.field(factory=dict)
     received: dict[incarnation.Incarnation, int] = attrs.field(factory=dict)
+    limit: int | None = attrs.field(default=None, eq=False)
 
     @property
-    def available(self) -> int:
-        """Tokens that are neither used nor held nor lent."""
+    def consumed(self) -> int:
+        """Drawn tokens that are used, held or lent."""
         return (
-            self.drawn
-            + sum(self.received.values())
-            - sum(self.lent.values())
-            - self.used
-            - self.held
+            self.used
+            + self.held
+            + sum(self.lent.values())
+            - sum(self.received.values())
         )
 
+    @property
+    def remaining(self) -> int:
+        """Tokens that are neither used nor held nor lent."""
+        return self.drawn - self.consumed
+
+    @property
+    def available(self) -> int:
+        """Remaining tokens that may be used now."""
+        if self.limit is None:
+            return self.remaining
+        return min(self.remaining, self.limit - self.consumed)
+
     def hold(self, tokens: int) -> bool:
         """Reserves the most that a request can use, if there is room."""
         if tokens > self.available:
--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -8,7 +8,9 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.prepaid import account
 from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import holders as holders_lib
 from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import seal as seal_lib
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import store_share
 
@@ -53,6 +55,7 @@
 
     Attributes:
       routers: Number of routers that are alive, this one included.
+      holders: Routers that draw for each workspace.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         cfg: draw_policy.DrawConfig,
     ) -> None:
         self.routers = 1
+        self.holders = holders_lib.Holders(process.name)
         self.share = store_share.StoreShare(process, address)
         self._process = process
         self._address = address
@@ -70,6 +74,8 @@
         # Use per router before this start, by workspace and priority.
         self._past: dict[str, dict[int, float]] = {}
         self._entries: dict[str, _Entry] = {}
+        # Tokens that requests wait for, beyond the limits of the record.
+        self._wanted: dict[str, int] = {}
 
     def on_prepaid(self, prepaid: Mapping[str, int]) -> list[str]:
         """Sets the prepaid amounts; returns the workspaces that changed."""
@@ -82,7 +88,7 @@
 
         The share of this router is assumed until its own use is known.
         """
-        routers = max(1, self.routers)
+        routers = self._sharers
         past: dict[str, dict[int, float]] = {}
         for record in records:
             for name, rates in record.rates.items():
@@ -105,6 +111,29 @@
         entry = self._entries.get(workspace)
         return entry.account.available if entry else 0
 
+    def remaining(self, workspace: str) -> int:
+        """Returns the tokens of this router, usable now or not."""
+        entry = self._entries.get(workspace)
+        return entry.account.remaining if entry else 0
+
+    def opens_in_s(
+        self, workspace: str, tokens: int, now_s: float
+    ) -> float | None:
+        """Returns when more tokens of this router become usable.
+
+        Args:
+          workspace: Workspace that pays.
+          tokens: Tokens that are needed.
+          now_s: Present time in seconds.
+
+        Returns:
+          Seconds from now; None if waiting gives no room.
+        """
+        acc = self._entry(workspace, now_s).account
+        if acc.limit is None or acc.remaining < tokens:
+            return None
+        return max(0.0, self.share.seal.opens_s() - now_s)
+
     def undrawn(self, workspace: str) -> int:
         """Returns the tokens that no router has drawn, as last known."""
         return max(
@@ -143,11 +172,18 @@
             return None
         if not entry.account.hold(tokens):
             return None
-        entry.on_request(tokens, now_s)
+        self._add_use(workspace, priority, tokens, now_s)
+        return Hold(workspace, tokens, priority)
+
+    def _add_use(
+        self, workspace: str, priority: int, tokens: int, now_s: float
+    ) -> None:
+        entry = self._entry(workspace, now_s)
+        if tokens > 0:
+            entry.on_request(tokens, now_s)
         if priority not in entry.by_priority:
             entry.by_priority[priority] = self._rate(now_s, 0.0)
         entry.by_priority[priority].add(tokens, now_s)
-        return Hold(workspace, tokens, priority)
 
     def settle(self, hold: Hold, used: int, now_s: float) -> None:
         """Replaces a reservation by the tokens used; later calls do nothing."""
@@ -170,7 +206,11 @@
         """Lends tokens to a peer that asks for them."""
         acc = self._entry(ask.workspace, now_s).account
         kept = self.reserve(ask.workspace, ask.priority, now_s)
+        before = acc.lent.get(peer, 0)
         total = acc.lend(peer, ask.least, ask.wanted, kept)
+        if peer.name not in self.holders.of(ask.workspace):
+            # The peer's use is drawn for here.
+            self._add_use(ask.workspace, ask.priority, total - before, now_s)
         return self._lent(peer, {ask.workspace: total}, {ask.workspace: acc})
 
     def lend_everything(
@@ -223,12 +263,53 @@
         position = self._position(workspace, now_s)
         return draw_policy.urgent_draw(position, tokens, self._cfg)
 
+    def want(self, workspace: str, tokens: int, now_s: float) -> bool:
+        """Asks for a higher limit; returns whether that would give room."""
+        acc = self._entry(workspace, now_s).account
+        if acc.available >= tokens or acc.remaining < tokens:
+            return False
+        self._wanted[workspace] = max(tokens, self._wanted.get(workspace, 0))
+        return True
+
+    def has_wanted(self, now_s: float) -> bool:
+        """Returns whether requests still wait for a higher limit."""
+        accounts = {n: self._entry(n, now_s).account for n in self._wanted}
+        self._wanted = {
+            name: tokens
+            for name, tokens in self._wanted.items()
+            if accounts[name].available < tokens <= accounts[name].remaining
+        }
+        return bool(self._wanted)
+
+    def limits(self, now_s: float, wall_ms: int) -> store_share.Limits:
+        """Returns the limits for the next record.
+
+        They leave room for the time that they hold at the present rates, and
+        for requests that wait.
+        """
+        duration_s = seal_lib.duration_s(self.routers)
+        limits: dict[str, int] = {}
+        for name, entry in self._entries.items():
+            ahead = seal_lib.room(
+                self._position(name, now_s), duration_s, self._cfg
+            )
+            room = max(ahead, self._wanted.get(name, 0))
+            limits[name] = max(0, entry.account.consumed + room)
+        return store_share.Limits(limits, duration_s, now_s, wall_ms)
+
+    def is_write_due(self, now_s: float) -> bool:
+        """Returns whether the limits in the store should be renewed."""
+        stamp = self.share.seal.last_stamp
+        if stamp is None or not any(map(self.share.drawn, self._entries)):
+            return False
+        return now_s - stamp.sent_s >= seal_lib.interval_s(self.routers)
+
     def surplus(self) -> dict[str, int]:
-        """Returns the changes that return everything available."""
+        """Returns the changes that return everything that remains."""
         return {
-            name: -entry.account.available
+            name: -entry.account.remaining
             for name, entry in self._entries.items()
-            if entry.account.available > 0 and name in self._prepaid
+            if entry.account.remaining > 0 and name in self._prepaid
         }
 
     def used(self) -> dict[str, int]:
@@ -239,8 +320,26 @@
             if entry.account.used
         }
 
+    def positions(self) -> dict[str, list[int]]:
+        """Returns drawn, used, held, net lent and available tokens."""
+        return {
+            name: [
+                acc.drawn,
+                acc.used,
+                acc.held,
+                acc.consumed - acc.used - acc.held,
+                acc.available,
+            ]
+            for name, entry in self._entries.items()
+            if (acc := entry.account) != account.Account()
+        }
+
+    def sealed_for_s(self, now_s: float) -> float:
+        """Returns for how long tokens beyond the limits stay sealed."""
+        return round(max(0.0, self.share.seal.opens_s() - now_s), 2)
+
     def sync_drawn(self, now_s: float) -> None:
-        """Copies the certain draws of the store share into the accounts."""
+        """Copies draws and limits of the store share into the accounts."""
         for name in self._prepaid.keys() | self._entries.keys():
             self._entry(name, now_s).account.drawn = self.share.drawn(name)
 
@@ -249,12 +348,17 @@
         return draw_policy.Position(
             prepaid=self._prepaid.get(workspace, 0),
             drawn_by_all=self.share.total(workspace),
-            available=entry.account.available,
+            available=entry.account.remaining,
             rate_per_s=entry.rate.per_s(now_s),
             typical=round(entry.typical),
-            routers=self.routers,
+            routers=self._sharers,
+            is_holder=self.holders.is_holder(workspace),
         )
 
+    @property
+    def _sharers(self) -> int:
+        return max(1, min(self.routers, holders_lib.MOST_HOLDERS))
+
     def rates(self, now_s: float) -> dict[str, dict[int, float]]:
         """Returns the tokens per second by workspace and priority."""
         return {
@@ -263,7 +367,7 @@
                 for priority, rate in entry.by_priority.items()
             }
             for name, entry in self._entries.items()
-            if entry.by_priority
+            if entry.by_priority and self.holders.is_holder(name)
         }
 
     def _entry(self, workspace: str, now_s: float) -> _Entry:
@@ -271,7 +375,7 @@
         if entry is None:
             past = self._past.get(workspace, {})
             first_per_s = sum(past.values()) or draw_policy.first_rate(
-                self.undrawn(workspace), self.routers, self._cfg
+                self.undrawn(workspace), self._sharers, self._cfg
             )
             entry = _Entry(
                 account.Account(),
@@ -279,6 +383,10 @@
                 {p: self._rate(now_s, per_s) for p, per_s in past.items()},
             )
             self._entries[workspace] = entry
+        limits = self.share.seal.limits(now_s)
+        entry.account.limit = (
+            None if limits is None else limits.get(workspace, 0)
+        )
         return entry
 
     def _rate(self, now_s: float, first_per_s: float) -> draw_policy.UseRate:
--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -25,6 +25,8 @@
       return_above: Multiple of the goal above which a router returns tokens.
       scarce_s: Time for which tokens are kept back for more urgent kinds of
         requests once the store has few left, in seconds.
+      lost_share: Part of the prepaid amount that a loss of all routers may
+        cost near the end of that amount.
       rate_memory_s: Time constant of the estimate of use, in seconds.
     """
 
@@ -33,7 +35,8 @@
     rest_share: float = 0.7
     refill_below: float = 0.85
     return_above: float = 2.0
-    scarce_s: float = 30.0
+    scarce_s: float = 12.0
+    lost_share: float = 0.015
     rate_memory_s: float = 10.0
 
 
@@ -73,7 +76,8 @@
       available: Tokens available at this router.
       rate_per_s: Tokens per second used at this router.
       typical: Tokens of a typical request; 0 before the first one.
-      routers: Number of routers that are alive.
+      routers: Number of routers that share the workspace's tokens.
+      is_holder: Whether this router is one of them.
     """
 
     prepaid: int
@@ -82,6 +86,7 @@
     rate_per_s: float
     typical: int
     routers: int
+    is_holder: bool = True
 
     @property
     def undrawn(self) -> int:
@@ -96,6 +101,8 @@
 
 def goal(position: Position, cfg: DrawConfig) -> int:
     """Returns how many tokens the router should have available."""
+    if not position.is_holder:
+        return 0
     rest = position.undrawn + max(0, position.available)
     # A router with more than its even share of the use may hold up to twice
     # the even bound.
--- a/hibiscuspass/core/prepaid/messages.py
+++ b/hibiscuspass/core/prepaid/messages.py
@@ -56,3 +56,28 @@
 
     revision: int
     drawn: dict[str, int]
+
+
+@attrs.frozen
+class AskAge:
+    """Asks how long ago the store had a revision, at most.
+
+    Attributes:
+      revision: Revision of the store.
+    """
+
+    revision: int
+
+
+@attrs.frozen
+class Age:
+    """Answer to `AskAge`.
+
+    Attributes:
+      age_s: Largest possible age of the revision in seconds; None if unknown.
+      is_exact: Whether the sender has been running all the time; otherwise the
+        age is by its time of day.
+    """
+
+    age_s: float | None
+    is_exact: bool
--- a/hibiscuspass/core/prepaid/store_record.py
+++ b/hibiscuspass/core/prepaid/store_record.py
@@ -29,12 +29,25 @@
         returned tokens that it had received from peers.
       used: Tokens used when the record was written, by workspace.
       rates: Tokens per second used lately, by workspace and priority.
+      limits: Tokens that the router uses or lends at most, less those that it
+        received, until `seal_s` after this record was sent; by workspace.
+      seal_s: Time for which the limits hold, in seconds; 0 without limits.
+      sent_ms: Time of day when the record was sent, in Unix milliseconds.
+      seen_revision: Newest revision of the store known at that time.
+      previous_revision: Revision of the record before this one.
+      previous_ms: Time of day when that one was sent.
     """
 
     address: str
     drawn: dict[str, int] = {}
     used: dict[str, int] = {}
     rates: dict[str, dict[int, float]] = {}
+    limits: dict[str, int] = {}
+    seal_s: float = 0.0
+    sent_ms: int = 0
+    seen_revision: int = 0
+    previous_revision: int = 0
+    previous_ms: int = 0
 
 
 _WORKSPACE = msgspec.json.Decoder(WorkspaceRecord)
--- a/hibiscuspass/core/prepaid/store_share.py
+++ b/hibiscuspass/core/prepaid/store_share.py
@@ -3,9 +3,11 @@
 from collections.abc import Mapping
 
 import attrs
+import msgspec
 
 from hibiscuspass.backends import kv_store
 from hibiscuspass.core import incarnation
+from hibiscuspass.core.prepaid import seal as seal_lib
 from hibiscuspass.core.prepaid import store_record
 
 
@@ -18,12 +20,46 @@
       writes: New values by key.
       deltas: Tokens drawn (positive) or returned, by workspace.
       drawn: The router's own amounts after the write.
+      limits: The router's own limits after the write.
     """
 
     expected: Mapping[str, int]
     writes: Mapping[str, bytes]
     deltas: Mapping[str, int]
     drawn: Mapping[str, int]
+    limits: Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Limits:
+    """Limits to be written with a record.
+
+    Attributes:
+      limits: Tokens by workspace, see `store_record.RouterRecord`.
+      duration_s: How long they hold, in seconds.
+      now_s: Present time on the monotonic clock.
+      wall_ms: Present time of day in Unix milliseconds.
+    """
+
+    limits: Mapping[str, int]
+    duration_s: float
+    now_s: float
+    wall_ms: int
+
+
+@attrs.frozen
+class Inheritance:
+    """Tokens of an earlier start.
+
+    Attributes:
+      key: Key of its record.
+      revision: Revision of that record.
+      drawn: Tokens to take over, by workspace.
+    """
+
+    key: str
+    revision: int
+    drawn: Mapping[str, int]
 
 
 @attrs.define
@@ -39,9 +75,15 @@
     and as returned from the moment the write is planned. A write of unknown
     outcome may take effect later as long as the router's own record has the
     revision that the write expects.
+
+    Attributes:
+      seal: Limits of the router's record.
+      seen_revision: Newest known revision of the store.
     """
 
     def __init__(self, process: incarnation.Incarnation, address: str) -> None:
+        self.seal = seal_lib.Seal()
+        self.seen_revision = 0
         self._key = store_record.router_key(process)
         self._address = address
         self._own_revision = 0
@@ -64,6 +106,8 @@
         deltas: Mapping[str, int],
         used: Mapping[str, int],
         rates: Mapping[str, dict[int, float]] | None = None,
+        limits: Limits | None = None,
+        inheritance: Inheritance | None = None,
     ) -> Transaction:
         """Plans one write; at most one may be in flight.
 
@@ -72,6 +116,9 @@
           used: Tokens used so far by workspace, for reports.
           rates: Tokens per second by workspace and priority, for the next
             start of a router.
+          limits: Limits of the record; None leaves the record without any.
+          inheritance: Tokens of an earlier start to take over; the caller
+            removes its record in the same transaction.
         """
         for name, delta in deltas.items():
             if delta < 0:
@@ -86,15 +133,44 @@
                 store_record.WorkspaceRecord(total.drawn + delta)
             )
         drawn = store_record.with_changes(self._own, deltas)
-        writes[self._key] = store_record.encode(
-            store_record.RouterRecord(
-                self._address, drawn, dict(used), dict(rates or {})
-            )
+        if inheritance:
+            expected[inheritance.key] = inheritance.revision
+            drawn = store_record.with_changes(drawn, inheritance.drawn)
+        record = store_record.RouterRecord(
+            self._address, drawn, dict(used), dict(rates or {})
+        )
+        if limits:
+            record = self._sealed(record, limits)
+        writes[self._key] = store_record.encode(record)
+        return Transaction(expected, writes, dict(deltas), drawn, record.limits)
+
+    def _sealed(
+        self, record: store_record.RouterRecord, limits: Limits
+    ) -> store_record.RouterRecord:
+        previous = self.seal.confirmed_stamp
+        stamp = self.seal.plan(
+            limits.limits,
+            limits.duration_s,
+            seal_lib.Stamp(limits.now_s, limits.wall_ms, self.seen_revision),
+        )
+        return msgspec.structs.replace(
+            record,
+            limits=dict(limits.limits),
+            seal_s=self.seal.duration_s,
+            sent_ms=stamp.wall_ms,
+            seen_revision=stamp.seen_revision,
+            previous_revision=self._own_revision if previous else 0,
+            previous_ms=previous.wall_ms if previous else 0,
         )
-        return Transaction(expected, writes, dict(deltas), drawn)
+
+    def on_unknown(self) -> None:
+        """Takes in that the last write has no answer."""
+        self.seal.on_unknown()
 
     def on_committed(self, txn: Transaction, revision: int) -> None:
         """Takes in a confirmed write; it rules out all earlier ones."""
+        self._see(revision)
+        self.seal.on_confirmed(txn.limits)
         self._own = dict(txn.drawn)
         self._own_revision = revision
         self._doubtful = {}
@@ -105,6 +181,7 @@
 
     def on_not_done(self, txn: Transaction) -> None:
         """Takes in that a write certainly has no effect."""
+        self.seal.on_not_done()
         for name, delta in txn.deltas.items():
             if delta < 0:
                 self._doubtful[name] += delta
@@ -127,27 +204,33 @@
           keys: The keys that were read.
           current: Values of those that exist.
         """
+        self._see(*(item.revision for item in current.values()))
         own = current.get(self._key)
         if own and own.revision > self._own_revision:
             # An earlier write of unknown outcome took effect.
             record = store_record.decode_router(own.value)
+            self.seal.on_confirmed(record.limits)
             self._own = dict(record.drawn)
             self._own_revision = own.revision
             self._doubtful = {}
         for key in keys:
-            if key == self._key:
+            if not key.startswith(store_record.WORKSPACE_PREFIX):
                 continue
             name = key.removeprefix(store_record.WORKSPACE_PREFIX)
             self._adopt_total(name, current.get(key))
 
     def on_totals(self, totals: Mapping[str, int], revision: int) -> None:
         """Takes in totals that a peer wrote; they save a failed condition."""
+        self._see(revision)
         for name, drawn in totals.items():
             total = self._totals.setdefault(name, _Total())
             if revision > total.revision:
                 total.drawn = drawn
                 total.revision = revision
 
+    def _see(self, *revisions: int) -> None:
+        self.seen_revision = max(self.seen_revision, *revisions, 0)
+
     def _adopt_total(self, name: str, item: kv_store.KeyValue | None) -> None:
         total = self._totals.setdefault(name, _Total())
         if item is not None and item.revision > total.revision:
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -1,12 +1,10 @@
 """Carries out draws, returns and loans of prepaid tokens."""
 
 import asyncio
-from collections.abc import Mapping
-import itertools
+import random
 import time
 
 import attrs
-import msgspec
 import structlog
 
 from hibiscuspass.backends import txn_store
@@ -15,30 +13,27 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.prepaid import book as book_lib
 from hibiscuspass.core.prepaid import messages
-from hibiscuspass.core.prepaid import store_record
-from hibiscuspass.core.prepaid import store_share
-from hibiscuspass.gateway import broadcast as broadcast_lib
+from hibiscuspass.gateway import age_witness
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import gateway_metrics
+from hibiscuspass.gateway import ledger_writer
+from hibiscuspass.gateway import registration as registration_lib
+from hibiscuspass.peers import pynng_news
 from hibiscuspass.peers import transport as transport_lib
 
 _log = structlog.get_logger(__name__)
 
 # Interval of the regular draws and returns.
 _TICK_S = 1.0
-# The store answers in milliseconds; a call without an answer is given up
-# early, because its outcome is read back anyway.
-_STORE_TIMEOUT_S = 1.0
 # Time for the other routers of a new fleet to register.
 _JOIN_S = 1.0
 # A draw for a request is awaited for at most this long before the peers are
 # asked; the store answers in a few milliseconds.
 _URGENT_DRAW_S = 0.05
-# Pause after a failed call, so that an outage doesn't cause a stream of calls.
-_STORE_PAUSE_S = 1.0
-_MAX_CONFLICTS = 5
-# Keys that fit into one transaction besides the router's own.
-_MAX_WORKSPACES = 15
+# Interval of the log lines with the positions of all workspaces.
+_REPORT_S = 10.0
+# Interval of the checks whether the limits in the store are due.
+_RENEWAL_CHECK_S = 0.25
 _PEER_TIMEOUT_S = 0.3
 # Peers that are asked for a loan at the same time.
 _PEERS_AT_ONCE = 4
@@ -66,76 +61,65 @@
         store: txn_store.TxnStore,
         transport: transport_lib.Transport,
         fleet: fleet_lib.Fleet,
-        broadcast: broadcast_lib.Broadcast,
+        news: pynng_news.PynngNews,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self.book = book
-        self._broadcast = broadcast
         self._metrics = metrics
-        self._store = store
         self._transport = transport
         self._fleet = fleet
-        self._lock = asyncio.Lock()
+        witness = age_witness.AgeWitness(transport, fleet)
+        self._writer = ledger_writer.LedgerWriter(
+            book, store, news, witness, metrics
+        )
+        self._registration = registration_lib.Registration(
+            book, fleet, witness, self._writer
+        )
         self._searches: dict[str, asyncio.Lock] = {}
         self._dry: dict[tuple[str, int], _Dry] = {}
-        self._store_paused_until_s = 0.0
         self._is_closing = False
         # Draws that outlast the requests that asked for them.
         self._draws: set[asyncio.Task[bool]] = set()
         self._peer_available: dict[tuple[str, str], int] = {}
         transport.register(messages.Borrow, self._on_borrow)
         transport.register(messages.Lent, self._on_lent)
-        transport.register(messages.Totals, self._on_totals)
+        news.register(messages.Totals, self._on_totals)
 
     async def run(self) -> None:
         """Joins the fleet, then draws and returns tokens until cancelled."""
-        registered = await self._register()
-        while not registered:
-            await asyncio.sleep(_STORE_PAUSE_S)
-            registered = await self._register()
+        await self._registration.run()
         # The other routers of a new fleet register meanwhile, which decides
         # the size of the first draw.
         await asyncio.sleep(_JOIN_S)
         await self._fleet.read()
+        refill_s = report_s = time.monotonic()
         while True:
-            await self.refill()
-            await asyncio.sleep(_TICK_S)
-
-    async def _register(self) -> bool:
-        """Writes this router's record and removes those of its past starts."""
-        members = await self._fleet.read()
-        if isinstance(members, refusal.Refusal):
-            return False
-        self.book.routers = self._fleet.size
-        self.book.on_records(members.records)
-        ended = [
-            key
-            for key in members.keys
-            if store_record.is_earlier_start(key, self._fleet.process)
-        ]
-        async with self._lock:
-            txn = self._plan({})
-            outcome = await self._store.commit(
-                txn.expected, txn.writes, ended, timeout_s=_STORE_TIMEOUT_S
-            )
-            return self._on_outcome(txn, outcome)
+            if time.monotonic() >= refill_s:
+                refill_s += _TICK_S
+                await self.refill()
+            if time.monotonic() >= report_s:
+                report_s += _REPORT_S
+                _log.info(
+                    "prepaid positions",
+                    sealed_for_s=self.book.sealed_for_s(time.monotonic()),
+                    workspaces=self.book.positions(),
+                )
+            if self._can_write and self.book.is_write_due(time.monotonic()):
+                await self._writer.change({})
+            await asyncio.sleep(_RENEWAL_CHECK_S)
 
-    def _plan(self, changes: Mapping[str, int]) -> store_share.Transaction:
-        now_s = time.monotonic()
-        txn = self.book.share.plan(
-            changes, self.book.used(), self.book.rates(now_s)
-        )
-        self.book.sync_drawn(now_s)
-        return txn
+    @property
+    def _can_write(self) -> bool:
+        return not self._is_closing and not self._writer.is_paused
 
     async def refill(self) -> bool:
         """Carries out the changes that are due; False without the store."""
-        now_s = time.monotonic()
         self.book.routers = self._fleet.size
-        if self._is_closing or now_s < self._store_paused_until_s:
+        self.book.holders.set_names(self._fleet.names())
+        if not self._can_write:
             return False
-        changes = self.book.planned_changes(now_s)
-        return not changes or await self._change(changes)
+        changes = self.book.planned_changes(time.monotonic())
+        return not changes or await self._writer.change(changes)
 
     async def obtain(
         self, workspace: str, tokens: int, priority: int, deadline_s: float
@@ -162,7 +146,9 @@
         lock = self._searches.setdefault(workspace, asyncio.Lock())
         try:
             async with asyncio.timeout_at(deadline_s), lock:
-                return await self._search(workspace, tokens, priority)
+                return await self._search(
+                    workspace, tokens, priority, deadline_s
+                )
         except TimeoutError:
             return _refuse(reason_lib.Reason.BUDGET_UNAVAILABLE)
 
@@ -174,7 +160,7 @@
         # A later draw would be lost with this process.
         self._is_closing = True
         surplus = self.book.surplus()
-        if surplus and await self._change(surplus):
+        if surplus and await self._writer.change(surplus):
             _log.info("returned prepaid tokens", workspaces=len(surplus))
             return
         for peer in self._fleet.peers():
@@ -190,12 +176,21 @@
                 return
 
     async def _search(
-        self, workspace: str, tokens: int, priority: int
+        self, workspace: str, tokens: int, priority: int, deadline_s: float
     ) -> book_lib.Hold | refusal.Refusal:
-        """Looks for tokens in the store, then at the peers."""
+        """Looks for tokens in the store, then at the peers.
+
+        In an outage of the store, tokens of this router may become usable a
+        moment later.
+        """
         hold = self.book.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
+        if not self.book.holders.is_holder(workspace):
+            await self._borrow(workspace, tokens, priority, at_once=1)
+            hold = self.book.hold(workspace, tokens, priority, time.monotonic())
+            if hold:
+                return hold
         kept = self.book.reserve(workspace, priority, time.monotonic())
         store_asked = await self._draw_for(workspace, tokens + kept)
         hold = self.book.hold(workspace, tokens, priority, time.monotonic())
@@ -206,6 +201,13 @@
         hold = self.book.hold(workspace, tokens, priority, now_s)
         if hold:
             return hold
+        opens_in_s = self.book.opens_in_s(workspace, tokens + kept, now_s)
+        if opens_in_s is not None and now_s + opens_in_s < deadline_s:
+            await asyncio.sleep(opens_in_s)
+            now_s = time.monotonic()
+            hold = self.book.hold(workspace, tokens, priority, now_s)
+            if hold:
+                return hold
         exhausted = store_asked and all_asked
         why = (
             reason_lib.Reason.BUDGET_EXHAUSTED
@@ -223,46 +225,59 @@
             undrawn=self.book.undrawn(workspace),
             store_asked=store_asked,
             peers_asked=all_asked,
+            remaining=self.book.remaining(workspace),
+            opens_in_s=opens_in_s,
         )
-        return _refuse(why)
+        return _refuse(why, opens_in_s)
 
     async def _draw_for(self, workspace: str, tokens: int) -> bool:
         """Draws for one request; returns whether the store was reached."""
-        now_s = time.monotonic()
-        if self._is_closing or now_s < self._store_paused_until_s:
+        if not self._can_write:
             return False
+        now_s = time.monotonic()
         change = self.book.urgent_draw(workspace, tokens, now_s)
-        if not change:
+        is_short = self.book.want(workspace, tokens, now_s)
+        if change:
+            work = self._writer.change({workspace: change}, tokens)
+        elif is_short:
+            work = self._writer.renew()
+        else:
             return True
-        draw = asyncio.create_task(
-            self._change({workspace: change}, urgent_tokens=tokens)
-        )
+        draw = asyncio.create_task(work)
         self._draws.add(draw)
         draw.add_done_callback(self._draws.discard)
         done, _ = await asyncio.wait({draw}, timeout=_URGENT_DRAW_S)
         return draw in done and draw.result()
 
-    async def _borrow(self, workspace: str, tokens: int, priority: int) -> bool:
-        """Borrows from peers; returns whether all of them answered."""
-        peers = sorted(
-            self._fleet.peers(),
-            key=lambda p: -self._peer_available.get((p, workspace), 0),
-        )
+    async def _borrow(
+        self,
+        workspace: str,
+        tokens: int,
+        priority: int,
+        at_once: int = _PEERS_AT_ONCE,
+    ) -> bool:
+        """Borrows from holders of a workspace's tokens.
+
+        Returns:
+          Whether all of them answered.
+        """
+        names = self._fleet.names()
+        peers = [
+            names[name]
+            for name in self.book.holders.of(workspace)
+            if name in names
+        ]
+        random.shuffle(peers)
+        peers.sort(key=lambda p: -self._peer_available.get((p, workspace), 0))
         answered = True
-        for start in range(0, len(peers), _PEERS_AT_ONCE):
-            some = peers[start : start + _PEERS_AT_ONCE]
+        for start in range(0, len(peers), at_once):
+            some = peers[start : start + at_once]
             missing = tokens - self.book.available(workspace)
             if missing <= 0:
                 return True
             wanted = self.book.wanted_loan(workspace, missing, time.monotonic())
-            replies = await asyncio.gather(
-                *(
-                    self._ask(
-                        p, messages.Borrow(workspace, missing, wanted, priority)
-                    )
-                    for p in some
-                )
-            )
+            ask = messages.Borrow(workspace, missing, wanted, priority)
+            replies = await asyncio.gather(*(self._ask(p, ask) for p in some))
             answered = answered and all(replies)
         return answered
 
@@ -293,6 +308,12 @@
     async def _on_borrow(
         self, peer: incarnation.Incarnation, msg: messages.Borrow
     ) -> messages.Lent:
+        if (
+            peer.name not in self.book.holders.of(msg.workspace)
+            and self.book.available(msg.workspace) < msg.least
+        ):
+            # The peer leaves the draws to the holders.
+            await self._draw_for(msg.workspace, msg.least)
         return self.book.lend(peer, msg, time.monotonic())
 
     async def _on_lent(
@@ -301,95 +322,19 @@
         self._take_in(msg)
         return messages.Accepted()
 
-    async def _on_totals(
+    def _on_totals(
         self, _: incarnation.Incarnation, msg: messages.Totals
-    ) -> messages.Accepted:
+    ) -> None:
         self.book.share.on_totals(msg.drawn, msg.revision)
-        return messages.Accepted()
-
-    async def _change(
-        self, changes: Mapping[str, int], urgent_tokens: int = 0
-    ) -> bool:
-        """Writes changes to the ledger; returns whether the store answered."""
-        async with self._lock:
-            due = dict(itertools.islice(changes.items(), _MAX_WORKSPACES))
-            for _ in range(_MAX_CONFLICTS):
-                if not due:
-                    return True
-                txn = self._plan(due)
-                outcome = await self._store.commit(
-                    txn.expected, txn.writes, timeout_s=_STORE_TIMEOUT_S
-                )
-                if not self._on_outcome(txn, outcome):
-                    return False
-                if isinstance(outcome, txn_store.Committed):
-                    return True
-                due = self._replan(due, urgent_tokens)
-        return True
-
-    def _replan(
-        self, due: Mapping[str, int], urgent_tokens: int
-    ) -> dict[str, int]:
-        now_s = time.monotonic()
-        if urgent_tokens:
-            sizes = {
-                name: self.book.urgent_draw(name, urgent_tokens, now_s)
-                for name in due
-            }
-        else:
-            fresh = self.book.planned_changes(now_s)
-            sizes = {
-                name: fresh.get(name, 0) if size > 0 else size
-                for name, size in due.items()
-            }
-        return {name: size for name, size in sizes.items() if size}
-
-    def _on_outcome(
-        self,
-        txn: store_share.Transaction,
-        outcome: txn_store.Committed | txn_store.Conflict | refusal.Refusal,
-    ) -> bool:
-        share = self.book.share
-        now_s = time.monotonic()
-        self._metrics.on_draw(type(outcome).__name__.lower())
-        if isinstance(outcome, txn_store.Committed):
-            share.on_committed(txn, outcome.revision)
-            totals = {name: share.total(name) for name in txn.deltas}
-            if totals:
-                self._broadcast.send(
-                    messages.Totals(outcome.revision, totals),
-                    messages.Accepted,
-                )
-            _log.info(
-                "drew prepaid tokens",
-                changes=dict(txn.deltas),
-                revision=outcome.revision,
-            )
-        elif isinstance(outcome, txn_store.Conflict):
-            try:
-                share.on_conflict(txn, outcome.current)
-            except msgspec.MsgspecError as exc:
-                _log.error("unreadable ledger record", error=str(exc))
-                return False
-        else:
-            if outcome.reason is not reason_lib.Reason.TIMEOUT:
-                share.on_not_done(txn)
-            self._store_paused_until_s = now_s + _STORE_PAUSE_S
-            _log.warning(
-                "draw without an answer",
-                reason=outcome.reason.value,
-                detail=outcome.detail,
-                workspaces=sorted(txn.deltas),
-            )
-        self.book.sync_drawn(now_s)
-        return not isinstance(outcome, refusal.Refusal)
 
 
-def _refuse(why: reason_lib.Reason) -> refusal.Refusal:
-    # Without the store, new tokens come seconds later at the earliest.
-    retry_after_s = (
-        _RETRY_AFTER_S if why is reason_lib.Reason.BUDGET_UNAVAILABLE else None
-    )
+def _refuse(
+    why: reason_lib.Reason, opens_in_s: float | None = None
+) -> refusal.Refusal:
+    retry_after_s = None
+    if why is reason_lib.Reason.BUDGET_UNAVAILABLE:
+        # Without the store, new tokens come seconds later at the earliest.
+        retry_after_s = _RETRY_AFTER_S if opens_in_s is None else opens_in_s
     return refusal.Refusal(
         why,
         "the workspace's prepaid tokens don't cover the request",
