Count delivered events in the soak where they arrive

The backend servers counted events that they sent on connections that were reset, and counted them again when a resumed stream sent them a second time; the platform counts delivered output tokens. Events are now counted at the callers, prompts at the servers as before.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -30,17 +30,20 @@
 
     Attributes:
       runs: Runs by attempt.
-      used: Tokens by workspace, as the platform counts them.
+      read: Prompt tokens by workspace, once per attempt.
+      sent: Tokens of all events by workspace, those that were lost on the way
+        included.
     """
 
     def __init__(self) -> None:
         self.runs: collections.Counter[str] = collections.Counter()
-        self.used: collections.Counter[str] = collections.Counter()
+        self.read: collections.Counter[str] = collections.Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
 
     def on_run(self, workspace: str, attempt_id: str, tokens: int) -> None:
         """Counts a run; the prompt counts once per attempt."""
         if not self.runs[attempt_id]:
-            self.used[workspace] += tokens
+            self.read[workspace] += tokens
         self.runs[attempt_id] += 1
 
 
@@ -96,7 +99,7 @@
                 if self._rng.random() < _CUT_SHARE:
                     return _abort(req)
                 await response.write(event(attempt_id, number).encode())
-                self._truth.used[workspace] += STRIDE
+                self._truth.sent[workspace] += STRIDE
                 await asyncio.sleep(self._rng.uniform(0.0, 0.06))
             await response.write_eof()
         except ConnectionResetError:
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -1,6 +1,8 @@
 """A caller of the soak, which checks each of its answers."""
 
 import asyncio
+import collections
+from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
 import random
@@ -26,12 +28,16 @@
       problems: Broken promises.
       refused: Attempts that were refused as not run.
       once: Attempts that may run once.
+      delivered: Tokens of the whole events that arrived, by workspace.
     """
 
     served: int = 0
     problems: list[str] = attrs.field(factory=list)
     refused: set[str] = attrs.field(factory=set)
     once: set[str] = attrs.field(factory=set)
+    delivered: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
 
 class Caller:
@@ -41,7 +47,7 @@
         self,
         name: str,
         urls: Sequence[str],
-        keys: Sequence[str],
+        keys: Mapping[str, str],
         host: str,
         record: Record,
         rng: random.Random,
@@ -67,14 +73,16 @@
         if kind in _ONCE:
             self._record.once.add(attempt_id)
         tokens = f"{self._rng.randint(50, 900)},60" if kind in KINDS[:2] else ""
+        workspace = self._rng.choice(sorted(self._keys))
         headers = {
             "Host": self._host,
             "X-Attempt-Id": attempt_id,
-            "Authorization": f"Bearer {self._rng.choice(self._keys)}",
+            "Authorization": f"Bearer {self._keys[workspace]}",
             "X-Deadline-Ms": "2500",
         }
         if tokens:
             headers["X-Token-Counts"] = tokens
+        received = bytearray()
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 resp = await session.request(
@@ -83,11 +91,17 @@
                     headers=headers,
                     data=b"" if kind == "status" else b"body",
                 )
-                text = await resp.text()
+                async for chunk in resp.content.iter_any():
+                    received += chunk
         except (TimeoutError, aiohttp.ClientError, OSError):
             # Nothing is promised about a request without a whole answer.
             return
-        self._check(kind, attempt_id, resp, text)
+        finally:
+            if tokens:
+                self._record.delivered[workspace] += (
+                    received.count(b"\n\n") * backend.STRIDE
+                )
+        self._check(kind, attempt_id, resp, received.decode())
 
     def _check(
         self,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -215,11 +215,21 @@
     return Outcome(
         record.problems + _broken(system, record),
         record.served,
-        dict(system.truth.used),
+        _used(system, record),
         faults.log,
     )
 
 
+def _used(
+    system: system_lib.System, record: caller_lib.Record
+) -> dict[str, int]:
+    """Returns prompts that ran and events that arrived, in tokens."""
+    return {
+        name: system.truth.read[name] + record.delivered[name]
+        for name in system_lib.WORKSPACES
+    }
+
+
 def _caller(
     system: system_lib.System,
     record: caller_lib.Record,
@@ -229,7 +239,7 @@
     return caller_lib.Caller(
         f"s{seed}c{number}",
         [g.url for g in system.gateways],
-        [f"key-{name}" for name in system_lib.WORKSPACES],
+        {name: f"key-{name}" for name in system_lib.WORKSPACES},
         gateway_system.HOST,
         record,
         random.Random(f"{seed}/{number}"),
@@ -241,8 +251,8 @@
     truth = system.truth
     overspent = [
         f"workspace {name}: {used} tokens used, {system.prepaid} prepaid"
-        for name, used in truth.used.items()
-        if name and used > system.prepaid
+        for name, used in _used(system, record).items()
+        if used > system.prepaid
     ]
     repeated = [
         f"{attempt}: ran {truth.runs[attempt]} times"
