--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -84,13 +84,15 @@
             headers["X-Token-Counts"] = tokens
         received = bytearray()
         try:
-            async with asyncio.timeout(_TIMEOUT_S):
-                resp = await session.request(
+            async with (
+                asyncio.timeout(_TIMEOUT_S),
+                session.request(
                     "GET" if kind == "status" else "POST",
                     f"{self._rng.choice(self._urls)}/{kind}/x",
                     headers=headers,
                     data=b"" if kind == "status" else b"body",
-                )
+                ) as resp,
+            ):
                 async for chunk in resp.content.iter_any():
                     received += chunk
         except (TimeoutError, aiohttp.ClientError, OSError):
