--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,9 +30,10 @@
       length_s: Time with faults, in seconds.
       logs: Folder for settings and logs; a temporary one by default.
     """
-    for number in (signal.SIGINT, signal.SIGTERM):
-        # In the background, shells make programs ignore interrupts.
-        signal.signal(number, signal.default_int_handler)
+    # In the background, shells make programs ignore interrupts.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    # An interrupt ends the run, and with it the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     size = run_lib.Size(gateways=gateways, callers=callers, length_s=length_s)
     failed: list[int] = []
     for seed in range(first, first + seeds):
