Fit draws and returns to the state in which they are written

Cause: the size of a draw was planned before the lock of the ledger was taken. Returns had the same fault: what came into use while they waited was given away. Sizes are now limited to what is undrawn or unused when the write is made.

--- a/hibiscuspass/core/prepaid/book.py
+++ b/hibiscuspass/core/prepaid/book.py
@@ -127,15 +127,8 @@
         kept = int(self._cfg.scarce_s * urgent_per_s)
         if self.undrawn(workspace) < kept:
             return kept
-        return int(self._sealed_outage_s(now_s) * urgent_per_s)
-
-    def _sealed_outage_s(self, now_s: float) -> float:
-        """Returns for how long an outage will leave tokens sealed."""
-        stamp = self.share.seal.last_stamp
         due_s = seal_lib.interval_s(self.routers) + _LATE_S
-        if stamp is None or now_s - stamp.sent_s < due_s:
-            return 0.0
-        return max(0.0, self.share.seal.opens_s() - now_s)
+        return int(self.share.seal.outage_left_s(due_s, now_s) * urgent_per_s)
 
     def hold(
         self, workspace: str, tokens: int, priority: int, now_s: float
@@ -240,6 +233,21 @@
         }
         return {name: change for name, change in changes.items() if change}
 
+    def fitting(
+        self, changes: Mapping[str, int], now_s: float
+    ) -> dict[str, int]:
+        """Returns draws and returns as far as there are tokens for them.
+
+        Args:
+          changes: Tokens by workspace, planned for an earlier state.
+          now_s: Present time in seconds.
+        """
+        sizes = {
+            name: draw_policy.fitting(self._position(name, now_s), size)
+            for name, size in changes.items()
+        }
+        return {name: size for name, size in sizes.items() if size}
+
     def urgent_draw(self, workspace: str, tokens: int, now_s: float) -> int:
         """Returns the draw that gives a request room; 0 if there is none."""
         position = self._position(workspace, now_s)
--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -144,3 +144,15 @@
     share = position.undrawn // (2 * max(1, position.routers))
     ahead = max(goal(position, cfg) - position.available, 0)
     return min(position.undrawn, missing + min(share, ahead))
+
+
+def fitting(position: Position, size: int) -> int:
+    """Returns a draw (positive) or a return as far as there are tokens.
+
+    Args:
+      position: Present state of the workspace.
+      size: Change that may have been planned for an earlier state.
+    """
+    if size > 0:
+        return min(size, position.undrawn)
+    return -min(-size, max(0, position.available))
--- a/hibiscuspass/core/prepaid/seal.py
+++ b/hibiscuspass/core/prepaid/seal.py
@@ -148,6 +148,18 @@
         stamp = self.last_stamp
         return stamp.sent_s + self.duration_s if stamp else float("-inf")
 
+    def outage_left_s(self, due_s: float, now_s: float) -> float:
+        """Returns for how long an outage will leave tokens sealed.
+
+        Args:
+          due_s: Age of the last record that tells of an outage, in seconds.
+          now_s: Present time on the monotonic clock.
+        """
+        stamp = self.last_stamp
+        if stamp is None or now_s - stamp.sent_s < due_s:
+            return 0.0
+        return max(0.0, self.opens_s() - now_s)
+
     def limits(self, now_s: float) -> Mapping[str, int] | None:
         """Returns the limits in force; None if there are none."""
         return self._lowest if now_s < self.opens_s() else None
--- a/hibiscuspass/gateway/ledger_writer.py
+++ b/hibiscuspass/gateway/ledger_writer.py
@@ -88,9 +88,14 @@
         self, changes: Mapping[str, int], urgent_tokens: int = 0
     ) -> bool:
         """Writes changes to the ledger; returns whether the store answered."""
+        due = dict(itertools.islice(changes.items(), _MAX_WORKSPACES))
         async with self._lock:
-            due = dict(itertools.islice(changes.items(), _MAX_WORKSPACES))
             for _ in range(_MAX_CONFLICTS):
+                # Other writes may have used up what this one was meant for.
+                fitting = self._book.fitting(due, time.monotonic())
+                if due and not fitting:
+                    return True
+                due = fitting
                 outcome = await self._write(due)
                 if not isinstance(outcome, txn_store.Conflict):
                     return isinstance(outcome, txn_store.Committed)
