--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,11 +8,12 @@
 
 # Seeds that failed once, each with its cause.
 _REGRESSIONS = {
+    1: "draws that waited for a write without an answer overdrew a workspace",
     2: "draws that waited for a write without an answer overdrew a workspace",
 }
 
 
-@pytest.mark.parametrize("seed", [1, *_REGRESSIONS])
+@pytest.mark.parametrize("seed", _REGRESSIONS)
 async def test_promises_hold_under_faults(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
