Start a gateway of the soak only once at a time

Cause: a kill and a stop that overlap both started the gateway again while neither saw the other's process; the first was no longer known and outlived the run (found by its id four times and ended). Ruled out: the end of the run, which ends all known processes. The test fails first with two starts.

--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -50,11 +50,16 @@
     store: proxy_lib.Proxy
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    _starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Starts the program unless it runs."""
-        if self.process is not None and self.process.returncode is None:
-            return
+        # Faults overlap; a second start would lose sight of the first process.
+        async with self._starting:
+            if self.process is None or self.process.returncode is not None:
+                await self._start()
+
+    async def _start(self) -> None:
         self.starts += 1
         log = self.settings.with_suffix(f".{self.starts}.log")
         with log.open("wb") as output:
