Add a transport between peers over TCP streams

The transport, which matches replies, signs messages and replaces links after a timeout, no longer depends on the kind of its links. The tests of the pynng links run with both kinds. Test processes take ports from ranges of their own: with three workers one selected a port that another had just released.

--- a/benchmarks/slopes/peers.py
+++ b/benchmarks/slopes/peers.py
@@ -7,6 +7,7 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.membership import messages
 from hibiscuspass.peers import pynng_transport
+from hibiscuspass.peers import request_transport
 from hibiscuspass.telemetry import recorder
 
 _FLEET_KEY = b"k" * 32
@@ -24,7 +25,7 @@
     return messages.Heartbeat(sender=own, marks_digest=0)
 
 
-def _transport(name: str) -> pynng_transport.PynngTransport:
+def _transport(name: str) -> request_transport.RequestTransport:
     process = incarnation.Incarnation(name, "0123456789abcdef")
     return pynng_transport.make_transport(
         process,
--- a/benchmarks/test_peer_link.py
+++ b/benchmarks/test_peer_link.py
@@ -8,6 +8,7 @@
 from hibiscuspass.core import incarnation
 from hibiscuspass.peers import codec as codec_lib
 from hibiscuspass.peers import pynng_transport
+from hibiscuspass.peers import request_transport
 from hibiscuspass.telemetry import recorder as recorder_lib
 
 _REQUESTS = 500
@@ -24,7 +25,7 @@
     number: int
 
 
-def _make(name: str) -> pynng_transport.PynngTransport:
+def _make(name: str) -> request_transport.RequestTransport:
     process = incarnation.Incarnation(name, "0123456789abcdef")
     return pynng_transport.make_transport(
         process,
--- a/hibiscuspass/peers/pynng_link.py
+++ b/hibiscuspass/peers/pynng_link.py
@@ -7,6 +7,7 @@
 
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
+from hibiscuspass.peers import link
 
 # A negative resend time disables the automatic resending of nng, which would
 # hide lost messages from the timeouts of the callers.
@@ -19,20 +20,11 @@
     return refusal.Refusal(reason, detail)
 
 
-class Link:
-    """A request socket that is connected to one address.
-
-    Attributes:
-      address: `host:port` of the peer.
-      last_used_s: Time of the last request, set by the owner of the link from
-        its own clock.
-      in_flight: Number of requests that wait for a reply.
-    """
+class PynngLink(link.Link):
+    """A request socket that is connected to one address."""
 
     def __init__(self, address: str, max_message_bytes: int) -> None:
-        self.address = address
-        self.last_used_s = 0.0
-        self.in_flight = 0
+        super().__init__(address)
         self._retired = False
         self._closed = False
         self._idle_contexts: list[pynng.Context] = []
@@ -116,13 +108,13 @@
             return _refuse(reason_lib.Reason.UNAVAILABLE, detail)
 
     def retire(self) -> None:
-        """Closes the link as soon as it has no request in flight."""
+        """See base class."""
         self._retired = True
         if not self.in_flight:
             self.close()
 
     def close(self) -> None:
-        """Closes the socket; pending requests fail."""
+        """See base class."""
         if self._closed:
             return
         self._closed = True
--- a/hibiscuspass/peers/pynng_server.py
+++ b/hibiscuspass/peers/pynng_server.py
@@ -1,17 +1,14 @@
 """The server side of the peer links."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
 
 import pynng
 
-# Handles a request frame and returns the reply frame, or None to send no reply.
-FrameHandler = Callable[[bytes], Awaitable[bytes | None]]
+from hibiscuspass.peers import link
 
 
-class Server:
+class Server(link.Server):
     """Receives request frames and handles up to `max_handlers` concurrently."""
 
     def __init__(
@@ -24,8 +21,8 @@
         self._contexts: list[pynng.Context] = []
         self._workers: list[asyncio.Task[None]] = []
 
-    def start(self, handle: FrameHandler) -> str:
-        """Starts to listen and returns the `host:port` in use."""
+    async def start(self, handle: link.FrameHandler) -> str:
+        """See base class."""
         self._socket = pynng.Rep0(
             recv_max_size=self._max_message_bytes, async_backend="asyncio"
         )
@@ -41,7 +38,7 @@
         return str(self._socket.listeners[0].local_address)
 
     async def close(self) -> None:
-        """Stops listening and cancels running handlers."""
+        """See base class."""
         if self._socket is None:
             return
         socket, self._socket = self._socket, None
@@ -54,7 +51,7 @@
         socket.close()
 
     async def _serve(
-        self, context: pynng.Context, handle: FrameHandler
+        self, context: pynng.Context, handle: link.FrameHandler
     ) -> None:
         while self._socket is not None:
             try:
--- a/hibiscuspass/peers/request_transport.py
+++ b/hibiscuspass/peers/request_transport.py
@@ -1,38 +1,38 @@
-"""Transport between peers over pynng request and reply sockets."""
+"""Transport between peers with one link per peer."""
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 import os
 import time
 from typing import Any
 
-import prometheus_client
 import structlog
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.peers import codec as codec_lib
+from hibiscuspass.peers import link as link_lib
 from hibiscuspass.peers import peer_metrics
-from hibiscuspass.peers import pynng_link
-from hibiscuspass.peers import pynng_server
 from hibiscuspass.peers import transport
 from hibiscuspass.telemetry import recorder as recorder_lib
 
 _log = structlog.get_logger(__name__)
 
 _EXCHANGE_BYTES = 8
-_DEFAULT_MAX_HANDLERS = 128
+DEFAULT_MAX_HANDLERS = 128
 # Longer than the interval between two heartbeats of neighbours, so that links
 # in regular use stay open.
-_DEFAULT_IDLE_CLOSE_S = 30.0
+DEFAULT_IDLE_CLOSE_S = 30.0
 # Longer than the timeouts of requests, so that a slow connection attempt can
 # still complete for a later request.
 _DIAL_TIMEOUT_S = 5.0
 
+# Creates a link, which is not connected yet, to the address of a peer.
+LinkFactory = Callable[[str], link_lib.Link]
 
-class PynngTransport(transport.Transport):
+
+class RequestTransport(transport.Transport):
     """Sends requests over one link per peer and serves requests of peers.
 
     A link whose request timed out is replaced: its other requests may finish,
@@ -50,9 +50,10 @@
         listen: str,
         recorder: recorder_lib.Recorder,
         metrics: peer_metrics.PeerMetrics,
+        make_link: LinkFactory,
+        server: link_lib.Server,
         *,
-        max_handlers: int = _DEFAULT_MAX_HANDLERS,
-        idle_close_s: float = _DEFAULT_IDLE_CLOSE_S,
+        idle_close_s: float = DEFAULT_IDLE_CLOSE_S,
         monotonic_s: Callable[[], float] = time.monotonic,
     ) -> None:
         self.address = listen
@@ -63,14 +64,13 @@
         self._idle_close_s = idle_close_s
         self._monotonic_s = monotonic_s
         self._handlers: dict[type, transport.Handler] = {}
-        self._links: dict[str, pynng_link.Link] = {}
+        self._links: dict[str, link_lib.Link] = {}
         self._pending_dials: dict[
-            str, asyncio.Task[pynng_link.Link | refusal.Refusal]
+            str, asyncio.Task[link_lib.Link | refusal.Refusal]
         ] = {}
         self._incarnations: dict[str, incarnation.Incarnation] = {}
-        self._server = pynng_server.Server(
-            listen, codec.max_message_bytes, max_handlers
-        )
+        self._make_link = make_link
+        self._server = server
         self._closed = False
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -87,7 +87,7 @@
 
     async def start(self) -> None:
         """Starts to listen and sets `address` to the address in use."""
-        self.address = self._server.start(self._handle)
+        self.address = await self._server.start(self._handle)
         self._sweeper = asyncio.create_task(self._close_idle_periodically())
 
     async def close(self) -> None:
@@ -182,7 +182,7 @@
 
     async def _get_link(
         self, address: str, deadline_s: float
-    ) -> pynng_link.Link | refusal.Refusal:
+    ) -> link_lib.Link | refusal.Refusal:
         link = self._links.get(address)
         if link:
             return link
@@ -205,8 +205,8 @@
                 return _unavailable(address, "this process closes its links")
             raise
 
-    async def _dial(self, address: str) -> pynng_link.Link | refusal.Refusal:
-        link = pynng_link.Link(address, self._codec.max_message_bytes)
+    async def _dial(self, address: str) -> link_lib.Link | refusal.Refusal:
+        link = self._make_link(address)
         connected = False
         try:
             self.metrics.dials.inc()
@@ -223,7 +223,7 @@
             if not connected:
                 link.close()
 
-    def _retire(self, link: pynng_link.Link) -> None:
+    def _retire(self, link: link_lib.Link) -> None:
         if self._links.get(link.address) is link:
             del self._links[link.address]
             self.metrics.links.set(len(self._links))
@@ -306,57 +306,3 @@
     return refusal.Refusal(
         reason_lib.Reason.UNAVAILABLE, f"peer {address}: {detail}"
     )
-
-
-def make_transport(
-    process: incarnation.Incarnation,
-    listen: str,
-    fleet_key: bytes,
-    recorder: recorder_lib.Recorder,
-    *,
-    message_types: Iterable[type] = (),
-    registry: codec_lib.Registry | None = None,
-    max_message_bytes: int = codec_lib.DEFAULT_MAX_MESSAGE_BYTES,
-    max_handlers: int = _DEFAULT_MAX_HANDLERS,
-    idle_close_s: float = _DEFAULT_IDLE_CLOSE_S,
-    metrics_registry: prometheus_client.CollectorRegistry | None = None,
-    monotonic_s: Callable[[], float] = time.monotonic,
-) -> PynngTransport:
-    """Returns the peer transport of one process.
-
-    Args:
-      process: Identity of this process.
-      listen: `host:port` to listen on; port 0 selects a free port.
-      fleet_key: Key of at least 32 bytes that all processes share.
-      recorder: Source of the timestamps in envelopes.
-      message_types: Types without a handler in this process, which it sends
-        or receives as replies.
-      registry: Message registry, by default `codec.DEFAULT`.
-      max_message_bytes: Maximum size of a message in both directions.
-      max_handlers: Maximum number of requests handled concurrently; further
-        requests wait in the buffers of the sockets.
-      idle_close_s: Idle time in seconds after which a link is closed.
-      metrics_registry: Registry of the metrics, by default a private one.
-      monotonic_s: Monotonic clock for deadlines and idle links, in seconds.
-
-    Raises:
-      ValueError: The key is too short or a message name is used twice.
-    """
-    codec = codec_lib.Codec(
-        process,
-        fleet_key,
-        registry=registry or codec_lib.DEFAULT,
-        max_message_bytes=max_message_bytes,
-    )
-    for msg_type in message_types:
-        codec.registry.add(msg_type)
-    return PynngTransport(
-        codec,
-        process,
-        listen,
-        recorder,
-        peer_metrics.PeerMetrics(metrics_registry),
-        max_handlers=max_handlers,
-        idle_close_s=idle_close_s,
-        monotonic_s=monotonic_s,
-    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tests import peer_links
+
 
 @pytest.fixture
 async def started():
@@ -24,3 +26,11 @@
             return resource
 
         yield start
+
+
+@pytest.fixture(params=peer_links.KINDS)
+def each_transport(request):
+    """Runs a test with each kind of transport between peers."""
+    peer_links.select(request.param)
+    yield
+    peer_links.select(peer_links.KINDS[0])
--- a/tests/control_system.py
+++ b/tests/control_system.py
@@ -15,6 +15,7 @@
 from hibiscuspass.core.configuration import record
 from hibiscuspass.core.configuration import workspace as workspace_lib
 from hibiscuspass.peers import pynng_transport
+from hibiscuspass.peers import request_transport
 from hibiscuspass.router import budget_runtime
 from hibiscuspass.router import config_runtime
 from hibiscuspass.settings import config_sync
@@ -50,7 +51,7 @@
     """The configuration and budget runtimes of one router."""
 
     runtime: config_runtime.ConfigRuntime
-    transport: pynng_transport.PynngTransport
+    transport: request_transport.RequestTransport
     etcd: etcd_kv.EtcdKv
     budgets: budget_runtime.BudgetRuntime
 
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 import contextlib
 import json
-import socket
 from typing import Any
 
 import aiohttp
@@ -16,6 +15,7 @@
 from hibiscuspass.gateway import process as process_lib
 from hibiscuspass.platform import operator_config
 from hibiscuspass.settings import gateway as settings_lib
+from tests import free_ports
 from tests import memory_store
 from tests import scripted_backend
 
@@ -26,19 +26,12 @@
 
 
 def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return f"127.0.0.1:{free_ports.free_port()}"
 
 
 def free_address_pair() -> str:
     """Returns an address whose next port is free too."""
-    while True:
-        address = _free_address()
-        host, _, port = address.rpartition(":")
-        with contextlib.suppress(OSError), socket.socket() as sock:
-            sock.bind((host, int(port) + 1))
-            return address
+    return f"127.0.0.1:{free_ports.free_port(adjacent=2)}"
 
 
 def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -9,6 +9,8 @@
 from tests import assertions
 from tests import peer_links
 
+pytestmark = pytest.mark.usefixtures("each_transport")
+
 
 async def test_a_refused_connection_is_unavailable_at_once():
     """A peer that does not run must not delay its callers by their timeout."""
@@ -230,7 +232,7 @@
         dialling.set()
         await asyncio.Event().wait()
 
-    monkeypatch.setattr(pynng_link.Link, "connect", hang)
+    monkeypatch.setattr(peer_links.link_class(), "connect", hang)
     async with peer_links.running(client):
         pending = asyncio.create_task(
             client.request(
@@ -253,14 +255,14 @@
     """
     client, server = peer_links.make("a"), peer_links.make("b")
     server.register(peer_links.Echo, peer_links.echo)
-    connect = pynng_link.Link.connect
+    connect = peer_links.link_class().connect
     allow_connect = asyncio.Event()
 
     async def slow(link, timeout_s):
         await allow_connect.wait()
         return await connect(link, timeout_s)
 
-    monkeypatch.setattr(pynng_link.Link, "connect", slow)
+    monkeypatch.setattr(peer_links.link_class(), "connect", slow)
     async with peer_links.running(client, server):
         pending = asyncio.create_task(
             client.request(
@@ -325,7 +327,7 @@
 
     The library suppresses a cancellation that arrives together with a reply.
     """
-    link = pynng_link.Link("127.0.0.1:1", 1000)
+    link = pynng_link.PynngLink("127.0.0.1:1", 1000)
     waiting = asyncio.Event()
 
     async def swallow(context, frame, timeout_s):
--- a/tests/test_peer_transport.py
+++ b/tests/test_peer_transport.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+import pytest
+
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
-from hibiscuspass.peers import pynng_link
 from tests import assertions
 from tests import peer_links
 
+pytestmark = pytest.mark.usefixtures("each_transport")
+
 
 async def test_many_requests_in_flight_get_their_own_replies():
     """Concurrent requests share one connection and must not mix up replies."""
@@ -225,7 +228,7 @@
     client, server = peer_links.make("a"), peer_links.make("b")
     server.register(peer_links.Echo, peer_links.echo)
     async with peer_links.running(client, server):
-        first = pynng_link.Link.exchange
+        first = peer_links.link_class().exchange
         frames = []
 
         async def replay(link, frame, timeout_s):
@@ -233,7 +236,7 @@
             frames.append(reply)
             return frames[0]
 
-        monkeypatch.setattr(pynng_link.Link, "exchange", replay)
+        monkeypatch.setattr(peer_links.link_class(), "exchange", replay)
         request = client.request(
             server.address, peer_links.Echo(1), timeout_s=peer_links.TIMEOUT_S
         )
@@ -293,7 +296,7 @@
             exchange=req.exchange,
         )
 
-    monkeypatch.setattr(pynng_link.Link, "exchange", misdirect)
+    monkeypatch.setattr(peer_links.link_class(), "exchange", misdirect)
     async with peer_links.running(client, server):
         assertions.assert_refused(
             await client.request(
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -16,6 +16,7 @@
 from hibiscuspass.settings import listen as listen_lib
 from hibiscuspass.settings import tls
 from hibiscuspass.telemetry import http
+from tests import free_ports
 
 
 @pytest.fixture
@@ -52,7 +53,7 @@
 
 
 async def test_only_clients_that_trust_the_certificate_connect(files):
-    port = test_utils.unused_port()
+    port = free_ports.free_port()
     runner = await http.serve(
         http.make_app(lambda: True),
         listen_lib.ListenSettings("127.0.0.1", port, files),
