--- a/hibiscuspass/core/forwarding/backend_selector.py
+++ b/hibiscuspass/core/forwarding/backend_selector.py
@@ -2,11 +2,13 @@
 
 import abc
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import attrs
 
 from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import engine_loads
 from hibiscuspass.core.forwarding import request as request_lib
 
 
@@ -38,8 +40,17 @@
         req: request_lib.ForwardRequest,
         candidates: Sequence[backend_lib.Backend],
         now_s: float,
+        quotes: Mapping[str, engine_loads.Quote] | None = None,
     ) -> Choice:
-        """Returns the server to send to, out of at least one candidate."""
+        """Returns the server to send to.
+
+        Args:
+          req: Request to send.
+          candidates: At least one server.
+          now_s: Current time.
+          quotes: Quotes of the monitors of engines, by instance. Servers
+            without one are estimated from what this router knows.
+        """
 
     @abc.abstractmethod
     def on_sent(
--- a/hibiscuspass/core/forwarding/backend_selectors.py
+++ b/hibiscuspass/core/forwarding/backend_selectors.py
@@ -62,15 +62,28 @@
 
         Ejected servers are used only if there are no others.
         """
-        usable = [b for b in candidates if b.backend_id not in excluded]
+        usable = self.usable(candidates, excluded, now_s)
+        if not usable:
+            return None
+        return self.of(service).choose(req, usable, now_s)
+
+    def usable(
+        self,
+        candidates: Sequence[backend_lib.Backend],
+        excluded: Collection[str],
+        now_s: float,
+    ) -> list[backend_lib.Backend]:
+        """Returns the servers that a request may be sent to.
+
+        Ejected servers are among them only if there are no others.
+        """
+        remaining = [b for b in candidates if b.backend_id not in excluded]
         healthy = [
             b
-            for b in usable
+            for b in remaining
             if self._rng.random() < self._ejection.weight(b.instance, now_s)
         ]
-        if not usable:
-            return None
-        return self.of(service).choose(req, healthy or usable, now_s)
+        return healthy or remaining
 
     def on_unreachable(self, instance: str, now_s: float) -> None:
         """Ejects a server that accepted no connection.
--- a/hibiscuspass/core/forwarding/least_in_flight.py
+++ b/hibiscuspass/core/forwarding/least_in_flight.py
@@ -5,11 +5,13 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.core.forwarding import backend_selector
+from hibiscuspass.core.forwarding import engine_loads
 from hibiscuspass.core.forwarding import request as request_lib
 
 
@@ -29,6 +31,7 @@
         req: request_lib.ForwardRequest,
         candidates: Sequence[backend_lib.Backend],
         now_s: float,
+        quotes: Mapping[str, engine_loads.Quote] | None = None,
     ) -> backend_selector.Choice:
         """See base class."""
         return backend_selector.Choice(min(candidates, key=self._preference))
--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -21,3 +21,60 @@
     part_ids: list[str]
     part_tokens: list[int]
     new_tokens: int
+
+
+@attrs.frozen
+class AskLoad:
+    """Asks the monitor of an engine what a request would meet there.
+
+    Attributes:
+      service: Service of the engine.
+      instance: Instance of the engine.
+      part_ids: Ids of the parts of the prompt in order.
+      part_tokens: Number of tokens of each part.
+      input_tokens: Number of tokens of the prompt.
+      may_book: Whether the monitor records the request as sent if the engine
+        is neither busy nor slow.
+    """
+
+    service: str
+    instance: str
+    part_ids: list[str]
+    part_tokens: list[int]
+    input_tokens: int
+    may_book: bool
+
+
+@attrs.frozen
+class Load:
+    """Answers an `AskLoad` message, see `engine_loads.Quote`."""
+
+    new_tokens: int
+    wait_s: float
+    prefill_s: float
+    slowness: float
+    is_booked: bool
+
+
+@attrs.frozen
+class FirstEvent:
+    """Tells the monitor of an engine when an answer began.
+
+    Attributes:
+      service: Service of the engine.
+      instance: Instance of the engine.
+      new_tokens: Prompt tokens that the engine was expected to process.
+      expected_s: Expected time from the send to the first event in seconds.
+      elapsed_s: Measured time in seconds.
+    """
+
+    service: str
+    instance: str
+    new_tokens: int
+    expected_s: float
+    elapsed_s: float
+
+
+@attrs.frozen
+class Noted:
+    """Confirms a `Sent` or `FirstEvent` message."""
--- a/hibiscuspass/core/forwarding/prompt_cost.py
+++ b/hibiscuspass/core/forwarding/prompt_cost.py
@@ -6,7 +6,9 @@
 two routers don't send long prompts to one engine while others are idle.
 """
 
+import collections
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
@@ -14,7 +16,7 @@
 
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.core.forwarding import backend_selector
-from hibiscuspass.core.forwarding import prefix_cache_model
+from hibiscuspass.core.forwarding import engine_loads
 from hibiscuspass.core.forwarding import request as request_lib
 from hibiscuspass.core.forwarding import route as route_lib
 
@@ -24,11 +26,7 @@
     """Parameters of the cost of a request on an engine.
 
     Attributes:
-      initial_rate: Prefill rate in prompt tokens per second that is assumed
-        before the first response.
-      rate_weight: Weight of a new observation in the moving averages.
-      cache_share: Share of the KV cache of an engine that is assumed to keep
-        earlier prompts.
+      loads: Parameters of the estimated work of engines.
       prefill_weight: Weight of the delay that the prefill of a request causes
         for the requests after it, relative to its own delay.
       in_flight_cost_s: Cost of each request of this router that is in flight on
@@ -37,20 +35,25 @@
         seconds.
     """
 
-    initial_rate: float = 20_000.0
-    rate_weight: float = 0.1
-    cache_share: float = 0.6
+    loads: engine_loads.EngineLoadConfig = attrs.field(
+        factory=engine_loads.EngineLoadConfig
+    )
     prefill_weight: float = 1.0
     in_flight_cost_s: float = 0.002
     tie_tolerance_s: float = 0.005
 
+    def cost_s(self, quote: engine_loads.Quote, in_flight: int) -> float:
+        """Returns the cost of a request in seconds.
 
-@attrs.define
-class _EngineState:
-    prefix_cache: prefix_cache_model.PrefixCacheModel
-    busy_until_s: float = 0.0
-    slowness: float = 1.0
-    in_flight: int = 0
+        Args:
+          quote: What the request is expected to meet at the engine.
+          in_flight: Requests of this router that are in flight there.
+        """
+        return (
+            quote.wait_s
+            + (1.0 + self.prefill_weight) * quote.prefill_s
+            + self.in_flight_cost_s * in_flight
+        )
 
 
 class PromptCostSelector(backend_selector.BackendSelector):
@@ -70,30 +73,43 @@
         self._cfg = cfg
         self._failure_domain = failure_domain
         self._rng = rng
-        self._capacity = int(cfg.cache_share * engine.kv_capacity)
-        self._rate = cfg.initial_rate
-        self._engines: dict[str, _EngineState] = {}
+        self._loads = engine_loads.EngineLoads(cfg.loads, engine)
+        self._in_flight: collections.Counter[str] = collections.Counter()
 
     def choose(
         self,
         req: request_lib.ForwardRequest,
         candidates: Sequence[backend_lib.Backend],
         now_s: float,
+        quotes: Mapping[str, engine_loads.Quote] | None = None,
     ) -> backend_selector.Choice:
         """See base class."""
-        costs = [(self._cost(req, b, now_s), b) for b in candidates]
-        least = min(cost for cost, _ in costs)
-        near = [
-            b for cost, b in costs if cost <= least + self._cfg.tie_tolerance_s
+        known = quotes or {}
+        options = [
+            (
+                known.get(b.instance)
+                or self._loads.quote(
+                    b.instance, req.prompt_parts, req.input_tokens, now_s
+                ),
+                b,
+            )
+            for b in candidates
         ]
-        local = [b for b in near if b.failure_domain == self._failure_domain]
-        backend = self._rng.choice(local or near)
-        state = self._state(backend.instance)
-        new_tokens = self._new_tokens(req, state)
-        expected_s = self._wait_s(state, now_s) + self._prefill_s(
-            new_tokens, state
+        costs = [
+            (self._cfg.cost_s(quote, self._in_flight[b.instance]), quote, b)
+            for quote, b in options
+        ]
+        limit = min(cost for cost, _, _ in costs) + self._cfg.tie_tolerance_s
+        near = [(quote, b) for cost, quote, b in costs if cost <= limit]
+        local = [
+            (quote, b)
+            for quote, b in near
+            if b.failure_domain == self._failure_domain
+        ]
+        quote, backend = self._rng.choice(local or near)
+        return backend_selector.Choice(
+            backend, quote.new_tokens, quote.expected_s
         )
-        return backend_selector.Choice(backend, new_tokens, expected_s)
 
     def on_sent(
         self,
@@ -102,32 +118,29 @@
         now_s: float,
     ) -> None:
         """See base class."""
-        state = self._state(choice.backend.instance)
-        state.in_flight += 1
-        self._add_work(state, req.prompt_parts, choice.new_tokens, now_s)
+        instance = choice.backend.instance
+        self._in_flight[instance] += 1
+        self._loads.add_work(
+            instance, req.prompt_parts, choice.new_tokens, now_s
+        )
 
     def on_first_event(
         self, choice: backend_selector.Choice, elapsed_s: float, now_s: float
     ) -> None:
         """See base class."""
-        state = self._state(choice.backend.instance)
-        weight = self._cfg.rate_weight
-        if choice.expected_s > 0:
-            ratio = elapsed_s / choice.expected_s
-            state.slowness += weight * (min(4.0, ratio) - state.slowness)
-            state.slowness = max(0.5, state.slowness)
-        if choice.new_tokens and elapsed_s > 0:
-            rate = choice.new_tokens / elapsed_s
-            # The elapsed time includes queueing, which makes prefill look slow,
-            # so higher rates get more weight.
-            gain = weight if rate > self._rate else weight / 8
-            self._rate += gain * (rate - self._rate)
+        self._loads.on_first_event(
+            choice.backend.instance,
+            choice.new_tokens,
+            choice.expected_s,
+            elapsed_s,
+        )
 
     def on_ended(self, choice: backend_selector.Choice) -> None:
         """See base class."""
-        state = self._engines.get(choice.backend.instance)
-        if state is not None:
-            state.in_flight = max(0, state.in_flight - 1)
+        instance = choice.backend.instance
+        self._in_flight[instance] -= 1
+        if self._in_flight[instance] <= 0:
+            del self._in_flight[instance]
 
     def on_peer_sent(
         self,
@@ -137,60 +150,11 @@
         now_s: float,
     ) -> None:
         """See base class."""
-        self._add_work(self._state(instance), parts, new_tokens, now_s)
+        self._loads.add_work(instance, parts, new_tokens, now_s)
 
     def retain(self, instances: Collection[str]) -> None:
         """See base class."""
+        self._loads.retain(instances)
         retained = frozenset(instances)
-        self._engines = {
-            name: state
-            for name, state in self._engines.items()
-            if name in retained
-        }
-
-    def _state(self, instance: str) -> _EngineState:
-        state = self._engines.get(instance)
-        if state is None:
-            state = _EngineState(
-                prefix_cache_model.PrefixCacheModel(self._capacity)
-            )
-            self._engines[instance] = state
-        return state
-
-    def _cost(
-        self,
-        req: request_lib.ForwardRequest,
-        backend: backend_lib.Backend,
-        now_s: float,
-    ) -> float:
-        state = self._state(backend.instance)
-        prefill_s = self._prefill_s(self._new_tokens(req, state), state)
-        return (
-            self._wait_s(state, now_s)
-            + (1.0 + self._cfg.prefill_weight) * prefill_s
-            + self._cfg.in_flight_cost_s * state.in_flight
-        )
-
-    def _add_work(
-        self,
-        state: _EngineState,
-        parts: Sequence[request_lib.PromptPart],
-        new_tokens: int,
-        now_s: float,
-    ) -> None:
-        state.prefix_cache.on_prefill(parts)
-        state.busy_until_s = max(now_s, state.busy_until_s) + self._prefill_s(
-            new_tokens, state
-        )
-
-    def _new_tokens(
-        self, req: request_lib.ForwardRequest, state: _EngineState
-    ) -> int:
-        cached = state.prefix_cache.cached_prefix_tokens(req.prompt_parts)
-        return max(0, req.input_tokens - cached)
-
-    def _prefill_s(self, tokens: int, state: _EngineState) -> float:
-        return state.slowness * tokens / self._rate
-
-    def _wait_s(self, state: _EngineState, now_s: float) -> float:
-        return max(0.0, state.busy_until_s - now_s)
+        for gone in [n for n in self._in_flight if n not in retained]:
+            del self._in_flight[gone]
