--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -45,7 +45,11 @@
 
 
 class UsageRate:
-    """Exponentially decaying estimate of the tokens used per second."""
+    """Exponentially decaying estimate of the tokens used per second.
+
+    The initial estimate stays until tokens are used, since routers of a new
+    fleet draw tokens some time before its first requests.
+    """
 
     def __init__(
         self, time_constant_s: float, now_s: float, initial_per_s: float
@@ -53,10 +57,12 @@
         self._time_constant_s = time_constant_s
         self._updated_s = now_s
         self._rate = initial_per_s
+        self._is_used = False
 
     def add(self, tokens: int, now_s: float) -> None:
         """Records used tokens; a negative number corrects earlier calls."""
         self._decay(now_s)
+        self._is_used = True
         self._rate += tokens / self._time_constant_s
 
     def per_s(self, now_s: float) -> float:
@@ -67,6 +73,8 @@
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = max(self._updated_s, now_s)
+        if not self._is_used:
+            return
         self._rate *= math.exp(-elapsed_s / self._time_constant_s)
 
 
