--- a/hibiscuspass/backends/txn_store.py
+++ b/hibiscuspass/backends/txn_store.py
@@ -41,6 +41,19 @@
     current: Mapping[str, kv_store.KeyValue]
 
 
+@attrs.frozen
+class Lease:
+    """Lease of the service; its keys are removed when it ends.
+
+    Attributes:
+      lease_id: Number that the service gave to the lease.
+      ttl_s: Time in seconds after which it ends unless it is renewed.
+    """
+
+    lease_id: int
+    ttl_s: float
+
+
 class TxnStore(abc.ABC):
     """Key-value service with long polls and conditional transactions.
 
@@ -91,6 +104,7 @@
         deletes: Sequence[str] = (),
         *,
         timeout_s: float,
+        lease: Lease | None = None,
     ) -> Committed | Conflict | refusal.Refusal:
         """Makes all writes and deletes if all conditions hold, else none.
 
@@ -100,7 +114,21 @@
           writes: New values by key.
           deletes: Keys to delete.
           timeout_s: Time limit in seconds.
+          lease: Lease that the written keys are attached to; None for keys
+            that stay. If it has ended, the call is refused as `STALE`.
         """
 
+    @abc.abstractmethod
+    async def create_lease(
+        self, ttl_s: float, *, timeout_s: float
+    ) -> Lease | refusal.Refusal:
+        """Creates a lease; its time runs from the arrival of the call."""
+
+    @abc.abstractmethod
+    async def renew_lease(
+        self, lease: Lease, *, timeout_s: float
+    ) -> Lease | refusal.Refusal:
+        """Renews a lease; refused as `STALE` if it has ended."""
+
     async def close(self) -> None:  # noqa: B027, fakes own no connection.
         """Closes all connections."""
--- a/hibiscuspass/core/forwarding/load_quotes.py
+++ b/hibiscuspass/core/forwarding/load_quotes.py
@@ -21,6 +21,9 @@
 # In a fleet of up to this size, routers announce their prompts to each other,
 # and engines need no monitors.
 MAX_ANNOUNCING_ROUTERS = 10
+# Estimates of a monitor. It sees the answers to all routers, so it can follow a
+# change of an engine faster than a router that sees few.
+MONITOR_LOADS = engine_loads.EngineLoadConfig(rate_weight=0.2)
 # Engines that may serve the requests with the same shared prompt part. With
 # two, a part with much of the traffic overloads both.
 CANDIDATES = 4
--- a/hibiscuspass/core/liveness.py
+++ b/hibiscuspass/core/liveness.py
@@ -9,6 +9,9 @@
 
     Attributes:
       address: `host:port` of the sender's peer link.
+      revisions: Revision of the newest change that the sender has read, by
+        prefix of the keys that it follows.
     """
 
     address: str
+    revisions: dict[str, int] = attrs.field(factory=dict)
--- a/hibiscuspass/core/prepaid/account.py
+++ b/hibiscuspass/core/prepaid/account.py
@@ -56,6 +56,11 @@
             return self.remaining
         return min(self.remaining, self.limit - self.consumed)
 
+    def counts(self) -> list[int]:
+        """Returns [drawn, used, held, net lent, available]."""
+        net_lent = self.consumed - self.used - self.held
+        return [self.drawn, self.used, self.held, net_lent, self.available]
+
     def hold(self, tokens: int) -> bool:
         """Reserves tokens for a request if enough are available."""
         if tokens > self.available:
--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -25,6 +25,8 @@
         together hold if their usage is even.
       refill_below: Fraction of the target below which a router draws again.
       return_above: Multiple of the target above which a router returns tokens.
+      least_requests: Typical requests for which a router that lends to others
+        holds tokens at least, as long as `held_share` allows it.
       reserve_s: Period of usage by requests of higher priority for which
         tokens are reserved once few undrawn tokens remain, in seconds.
       max_lost_share: Largest share of the prepaid amount that a crash of all
@@ -39,6 +41,7 @@
     held_share: float = 0.7
     refill_below: float = 0.85
     return_above: float = 2.0
+    least_requests: int = 3
     reserve_s: float = 12.0
     max_lost_share: float = 0.01
     rate_time_constant_s: float = 10.0
@@ -90,6 +93,7 @@
       typical_tokens: Tokens of a typical request; 0 before the first request.
       routers: Number of routers that draw for the workspace.
       is_holder: Whether this router is one of them, see `holders`.
+      has_borrowers: Whether it lends to routers that draw nothing.
     """
 
     prepaid: int
@@ -99,6 +103,7 @@
     typical_tokens: int
     routers: int
     is_holder: bool = True
+    has_borrowers: bool = False
 
     @property
     def undrawn(self) -> int:
@@ -119,7 +124,10 @@
     # A router with more than an even share of the usage may hold up to twice
     # the even share of the tokens.
     bound = 2.0 * cfg.held_share * remaining / max(1, state.routers)
-    return int(min(bound, cfg.outage_s * state.rate_per_s))
+    least = (
+        cfg.least_requests * state.typical_tokens if state.has_borrowers else 0
+    )
+    return int(min(bound, max(least, cfg.outage_s * state.rate_per_s)))
 
 
 def planned_change(state: WorkspaceState, cfg: DrawConfig) -> int:
--- a/hibiscuspass/core/prepaid/holders.py
+++ b/hibiscuspass/core/prepaid/holders.py
@@ -1,19 +1,27 @@
 """Choice of the routers that draw the tokens of a workspace.
 
-In a large fleet each router sees only few requests of a workspace. If all
-routers drew tokens, most requests would need a write to the store, and most
-tokens would be held by routers that don't need them. Therefore only a few
-routers per workspace, its holders, draw tokens, and the others borrow from
-them.
+Load pattern: a large fleet, in which each router sees only few requests of a
+workspace. If all routers drew tokens, most requests would need a write to the
+store, and most tokens would be held by routers that don't need them. Therefore
+only a few routers, the holders, draw tokens, and the others borrow from them.
+Workspaces share their holders, because one write of a holder renews its limits
+for all of them.
 """
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import itertools
 
 import xxhash
 
 # In a fleet of up to this size, every router draws for all workspaces.
-MAX_HOLDERS = 10
+MAX_EQUAL_ROUTERS = 10
+# Routers that draw for a workspace in a larger fleet. Each further holder
+# divides the tokens of small workspaces into parts that cover few requests.
+HOLDERS_IN_LARGE_FLEET = 5
+# Routers per group of holders. Each group draws for a part of the workspaces,
+# so that the load of a holder doesn't grow with the fleet.
+_ROUTERS_PER_GROUP = 50
 
 
 def holders(workspace: str, names: Iterable[str]) -> list[str]:
@@ -26,10 +34,27 @@
       workspace: Workspace that pays.
       names: Names of the routers that are alive.
     """
-    ranked = sorted(
-        names, key=lambda n: xxhash.xxh64_intdigest(f"{workspace}/{n}".encode())
-    )
-    return ranked[:MAX_HOLDERS]
+    candidates = list(names)
+    groups = max(1, len(candidates) // _ROUTERS_PER_GROUP)
+    group = _hash(workspace) % groups
+    ranked = sorted(candidates, key=lambda n: _hash(f"{group}/{n}"))
+    return ranked[: holder_count(len(candidates))]
+
+
+def holder_count(routers: int) -> int:
+    """Returns how many routers of a fleet draw for each workspace."""
+    if has_borrowers(routers):
+        return HOLDERS_IN_LARGE_FLEET
+    return max(1, routers)
+
+
+def has_borrowers(routers: int) -> bool:
+    """Returns whether a fleet has routers that don't draw for a workspace."""
+    return routers > MAX_EQUAL_ROUTERS
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
 
 
 class Holders:
@@ -59,7 +84,11 @@
         """Returns whether this router draws for a workspace."""
         return self._own_name in self.of(workspace)
 
-    @property
-    def sharers(self) -> int:
-        """Number of routers that draw for each workspace."""
-        return max(1, min(len(self._names), MAX_HOLDERS))
+    def colleagues(self, workspaces: Iterable[str]) -> set[str]:
+        """Returns the other holders of the workspaces that this router holds.
+
+        Args:
+          workspaces: Workspaces to consider.
+        """
+        groups = (self.of(w) for w in workspaces if self.is_holder(w))
+        return set(itertools.chain.from_iterable(groups)) - {self._own_name}
--- a/hibiscuspass/core/prepaid/ledger_view.py
+++ b/hibiscuspass/core/prepaid/ledger_view.py
@@ -103,6 +103,11 @@
         total = self._totals.get(workspace)
         return total.drawn if total else 0
 
+    def total_revision(self, workspace: str) -> int:
+        """Returns the revision of the record that `total` was read from."""
+        total = self._totals.get(workspace)
+        return total.revision if total else 0
+
     def plan(
         self,
         deltas: Mapping[str, int],
--- a/hibiscuspass/core/prepaid/messages.py
+++ b/hibiscuspass/core/prepaid/messages.py
@@ -31,6 +31,11 @@
       borrower: Process that the totals apply to, in the same form. A restarted
         router must not use tokens that were lent to its previous process.
       address: `host:port` of the sender's peer link.
+      drawn: Last known total drawn by all routers, by workspace.
+      revisions: Revisions of the ledger records with these totals, by
+        workspace.
+      store_asked: Whether the sender could draw tokens that the borrower
+        needed, or needed none.
     """
 
     totals: dict[str, int]
@@ -38,6 +43,9 @@
     lender: str
     borrower: str
     address: str
+    drawn: dict[str, int] = attrs.field(factory=dict)
+    revisions: dict[str, int] = attrs.field(factory=dict)
+    store_asked: bool = True
 
 
 @attrs.frozen
--- a/hibiscuspass/core/prepaid/prepaid_accounts.py
+++ b/hibiscuspass/core/prepaid/prepaid_accounts.py
@@ -65,14 +65,9 @@
         Until this router has measured its own usage of a workspace, it assumes
         an even share of the rate of the fleet.
         """
-        routers = self._holder_count
-        earlier_rates: dict[str, dict[int, float]] = {}
-        for record in records:
-            for name, rates in record.rates.items():
-                sums = earlier_rates.setdefault(name, {})
-                for priority, per_s in rates.items():
-                    sums[priority] = sums.get(priority, 0.0) + per_s / routers
-        self._earlier_rates = earlier_rates
+        self._earlier_rates = usage_lib.mean_rates(
+            [record.rates for record in records], self._holder_count
+        )
         self._usages = {
             name: usage
             for name, usage in self._usages.items()
@@ -83,6 +78,10 @@
         """Returns whether a workspace has a prepaid amount."""
         return workspace in self._prepaid
 
+    def colleagues(self) -> set[str]:
+        """Returns the other holders of this router's workspaces."""
+        return self.holders.colleagues(self._prepaid)
+
     def available(self, workspace: str) -> int:
         """Returns the tokens that this router may use now."""
         usage = self._usages.get(workspace)
@@ -117,7 +116,10 @@
         They are reserved when the prepaid amount is nearly used up, so that
         requests of higher priority are served longer, and in the first seconds
         of a store outage, when only tokens below the usage limit may be used.
+        A router that is not a holder keeps no reserve, since its lenders do.
         """
+        if not self.holders.is_holder(workspace):
+            return 0
         usage = self._usage(workspace, now_s)
         urgent_per_s = sum(
             rate.per_s(now_s)
@@ -127,7 +129,7 @@
         reserved = int(self._cfg.reserve_s * urgent_per_s)
         if self.undrawn(workspace) < reserved:
             return reserved
-        due_s = usage_limit.interval_s(self.routers) + _WRITE_OVERDUE_S
+        due_s = usage_limit.interval_s(self._holder_count) + _WRITE_OVERDUE_S
         return int(
             self.ledger.usage_limits.outage_remaining_s(due_s, now_s)
             * urgent_per_s
@@ -274,7 +276,7 @@
         Each limit allows the current usage rate for the period in which it
         applies, or the waiting requests if they need more.
         """
-        duration_s = usage_limit.duration_s(self.routers)
+        duration_s = usage_limit.duration_s(self._holder_count)
         limits: dict[str, int] = {}
         for name, usage in self._usages.items():
             planned = usage_limit.headroom(
@@ -290,16 +292,23 @@
     def is_write_due(self, now_s: float) -> bool:
         """Returns whether the limits in the store should be renewed."""
         stamp = self.ledger.usage_limits.last_stamp
-        if stamp is None or not any(map(self.ledger.drawn, self._usages)):
+        holds_tokens = any(
+            self.ledger.drawn(n) and self.holders.is_holder(n)
+            for n in self._usages
+        )
+        if stamp is None or not holds_tokens:
             return False
-        return now_s - stamp.sent_s >= usage_limit.interval_s(self.routers)
+        return now_s - stamp.sent_s >= usage_limit.interval_s(
+            self._holder_count
+        )
 
     def full_return_changes(self) -> dict[str, int]:
         """Returns the changes that return all remaining tokens."""
+        remaining = {n: u.account.remaining for n, u in self._usages.items()}
         return {
-            name: -usage.account.remaining
-            for name, usage in self._usages.items()
-            if usage.account.remaining > 0 and name in self._prepaid
+            name: -tokens
+            for name, tokens in remaining.items()
+            if tokens > 0 and name in self._prepaid
         }
 
     def used(self) -> dict[str, int]:
@@ -313,23 +322,11 @@
     def token_counts(self) -> dict[str, list[int]]:
         """Returns [drawn, used, held, net lent, available] by workspace."""
         return {
-            name: [
-                acc.drawn,
-                acc.used,
-                acc.held,
-                acc.consumed - acc.used - acc.held,
-                acc.available,
-            ]
+            name: usage.account.counts()
             for name, usage in self._usages.items()
-            if (acc := usage.account) != account.Account()
+            if usage.account != account.Account()
         }
 
-    def limit_expires_in_s(self, now_s: float) -> float:
-        """Returns the time until the usage limits expire, in seconds."""
-        return round(
-            max(0.0, self.ledger.usage_limits.expires_at_s() - now_s), 2
-        )
-
     def sync_drawn(self, now_s: float) -> None:
         """Copies drawn tokens and usage limits from the ledger view."""
         for name in self._prepaid.keys() | self._usages.keys():
@@ -345,11 +342,12 @@
             typical_tokens=round(usage.typical_tokens),
             routers=self._holder_count,
             is_holder=self.holders.is_holder(name),
+            has_borrowers=holders_lib.has_borrowers(self.routers),
         )
 
     @property
     def _holder_count(self) -> int:
-        return max(1, min(self.routers, holders_lib.MAX_HOLDERS))
+        return holders_lib.holder_count(self.routers)
 
     def rates(self, now_s: float) -> dict[str, dict[int, float]]:
         """Returns the tokens per second by workspace and priority."""
@@ -397,4 +395,6 @@
             lender=str(self._process),
             borrower=str(peer),
             address=self._address,
+            drawn={n: self.ledger.total(n) for n in totals},
+            revisions={n: self.ledger.total_revision(n) for n in totals},
         )
--- a/hibiscuspass/core/prepaid/workspace_usage.py
+++ b/hibiscuspass/core/prepaid/workspace_usage.py
@@ -1,5 +1,8 @@
 """Account and usage statistics of one workspace at one router."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
+
 import attrs
 
 from hibiscuspass.core.prepaid import account as account_lib
@@ -59,3 +62,21 @@
     tokens: int
     priority: int = 0
     is_open: bool = True
+
+
+def mean_rates(
+    rates: Iterable[Mapping[str, Mapping[int, float]]], routers: int
+) -> dict[str, dict[int, float]]:
+    """Returns the mean usage rates of routers.
+
+    Args:
+      rates: Tokens per second of each router, by workspace and priority.
+      routers: Number of routers that share the usage.
+    """
+    means: dict[str, dict[int, float]] = {}
+    for by_workspace in rates:
+        for name, by_priority in by_workspace.items():
+            sums = means.setdefault(name, {})
+            for priority, per_s in by_priority.items():
+                sums[priority] = sums.get(priority, 0.0) + per_s / routers
+    return means
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -24,6 +24,7 @@
 from hibiscuspass.gateway import dispatch_announcer
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import gateway_metrics
+from hibiscuspass.gateway import load_monitors
 from hibiscuspass.gateway import upstream as upstream_lib
 
 _log = structlog.get_logger(__name__)
@@ -63,6 +64,7 @@
         table: Callable[[], route_table.RouteTable | None],
         fleet: fleet_lib.Fleet,
         announcer: dispatch_announcer.DispatchAnnouncer,
+        monitors: load_monitors.LoadMonitors,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._upstream = upstream
@@ -72,6 +74,7 @@
         self._table = table
         self._fleet = fleet
         self._announcer = announcer
+        self._monitors = monitors
         self._metrics = metrics
         self._rng = random.Random()
         self._backends_version = -1
@@ -166,7 +169,7 @@
             service = self._choose_service(call)
             if service is None:
                 return self._give_up(attempts, "unknown service")
-            choice = self._choose_backend(call, service, attempts)
+            choice = await self._choose_backend(call, service, attempts)
             if choice is None:
                 return self._give_up(attempts, "no backend server left")
             refused = self._check_send(service, attempts)
@@ -191,6 +194,13 @@
         self._selectors.of(answer.service).on_first_event(
             answer.choice, now_s - answer.sent_s, now_s
         )
+        if self._monitors.is_needed:
+            self._monitors.on_first_event(
+                answer.service,
+                answer.choice,
+                now_s - answer.sent_s,
+                len(self._backends.ready(answer.service.name)),
+            )
 
     def on_ended(self, answer: Answer, *, succeeded: bool) -> None:
         """Records the end of an answer."""
@@ -211,7 +221,7 @@
             )[0]
         return table.services.get(name) if table else None
 
-    def _choose_backend(
+    async def _choose_backend(
         self,
         call: call_lib.Call,
         service: route_lib.Service,
@@ -222,13 +232,19 @@
             _log.info("backend server did not come back", backend=backend_id)
         if self._backends_version != self._backends.version:
             self._backends_version = self._backends.version
-            self._selectors.retain(self._backends.backends())
-        return self._selectors.choose(
-            service,
-            call.req,
-            self._backends.ready(service.name),
-            attempts.tried,
-            now_s,
+            known = self._backends.backends()
+            self._selectors.retain(known)
+            self._monitors.retain([b.instance for b in known])
+        ready = self._backends.ready(service.name)
+        if service.engine is None or not self._monitors.is_needed:
+            return self._selectors.choose(
+                service, call.req, ready, attempts.tried, now_s
+            )
+        usable = self._selectors.usable(ready, attempts.tried, now_s)
+        if not usable:
+            return None
+        return await self._monitors.choose(
+            service, call.req, usable, len(ready)
         )
 
     def _check_send(
@@ -283,7 +299,8 @@
         may_have_run_before = attempts.may_have_run
         attempts.may_have_run = True
         selector.on_sent(call.req, choice, sent_s)
-        self._announcer.announce(service, call.req, choice)
+        if not self._monitors.is_needed:
+            self._announcer.announce(service, call.req, choice)
         _log.info(
             "sent",
             request=call.req.attempt_id,
--- a/hibiscuspass/gateway/dispatch_announcer.py
+++ b/hibiscuspass/gateway/dispatch_announcer.py
@@ -1,7 +1,8 @@
-"""Exchanges announcements of long prompts with peers.
+"""Exchanges announcements of long prompts with neighbours.
 
 A router estimates the load of engines better if it knows the prompts that other
-routers have sent to them.
+routers have sent to them. In a small fleet all routers are neighbours. In a
+large one each router receives the announcements of a bounded number of others.
 """
 
 import time
@@ -12,14 +13,10 @@
 from hibiscuspass.core.forwarding import messages
 from hibiscuspass.core.forwarding import request as request_lib
 from hibiscuspass.core.forwarding import route as route_lib
-from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.peers import pynng_pubsub
 
 # An engine has read a shorter prompt before the announcement arrives.
 _MIN_TOKENS = 1000
-# Each router handles the announcements of all others. In a fleet larger than
-# this, the minimum length of announced prompts grows with the fleet.
-_ROUTERS_AT_MIN_TOKENS = 16
 
 
 class DispatchAnnouncer:
@@ -30,9 +27,7 @@
         pubsub: pynng_pubsub.PynngPubSub,
         selectors: selectors_lib.BackendSelectors,
         service_of: selectors_lib.ServiceLookup,
-        fleet: fleet_lib.Fleet,
     ) -> None:
-        self._fleet = fleet
         self._pubsub = pubsub
         self._selectors = selectors
         self._service_of = service_of
@@ -44,9 +39,8 @@
         req: request_lib.ForwardRequest,
         choice: selector_lib.Choice,
     ) -> None:
-        """Publishes a send to all peers if its prompt is long."""
-        scale = max(1.0, self._fleet.known_size / _ROUTERS_AT_MIN_TOKENS)
-        if choice.new_tokens < _MIN_TOKENS * scale:
+        """Publishes a send if its prompt is long."""
+        if choice.new_tokens < _MIN_TOKENS:
             return
         msg = messages.Sent(
             service.name,
--- a/hibiscuspass/gateway/fleet.py
+++ b/hibiscuspass/gateway/fleet.py
@@ -1,72 +1,47 @@
 """Tracks the other routers of the fleet and whether they are alive.
 
-Routers are discovered through their records in the store and through the
-heartbeats that they publish.
+Routers are discovered through their records in the store. Neighbours also
+publish heartbeats, which carry the newest changes of the store that they read.
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable
+from collections.abc import Iterable
 import time
 
-import attrs
+import msgspec
 import structlog
 
-from hibiscuspass.backends import kv_store
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import liveness
 from hibiscuspass.core import refusal
-from hibiscuspass.core.prepaid import store_record
-from hibiscuspass.gateway import member_records
+from hibiscuspass.core.membership import gateway_peers
+from hibiscuspass.core.membership import member_record
+from hibiscuspass.gateway import follower
 from hibiscuspass.peers import pynng_pubsub
 
 _log = structlog.get_logger(__name__)
 
 # Delays of the first reads. All routers of a new fleet start within a second of
-# each other; those that start later are discovered by their first messages.
-_FIRST_READS_S = (1.0, 4.0)
-_READ_INTERVAL_S = 15.0
+# each other.
+_FIRST_READS_S = (1.0, 2.0)
+_READ_INTERVAL_S = 10.0
 _TIMEOUT_S = 1.0
-# Time during which a peer that did not answer is not asked.
-_SUSPECT_DURATION_S = 2.0
-# A router publishes a heartbeat if it has published nothing else for an
-# interval. The interval grows with the fleet, since each router receives the
-# heartbeats of all others: all routers together publish at most
-# `_MAX_HEARTBEATS_PER_S`.
-_MIN_HEARTBEAT_INTERVAL_S = 1.0
-_MAX_HEARTBEATS_PER_S = 25.0
-# Heartbeat intervals without a message after which a peer is not asked.
-_MAX_SILENT_INTERVALS = 3.5
-# Time without a message after which a peer is removed.
-_FORGET_AFTER_S = 60.0
-
-
-@attrs.define
-class _Peer:
-    process: incarnation.Incarnation
-    last_seen_s: float
-    suspect_until_s: float = 0.0
-    last_redial_s: float = 0.0
-
-
-@attrs.frozen
-class Members:
-    """The records of all routers in the store.
+# A router publishes a heartbeat if it has published nothing else for this time.
+_HEARTBEAT_INTERVAL_S = 1.0
+_HEARTBEAT_CHECK_INTERVAL_S = 0.5
 
-    Attributes:
-      entries: All entries as they are stored.
-      records: Newest record of each router name.
-    """
-
-    entries: tuple[kv_store.KeyValue, ...]
-    records: tuple[store_record.RouterRecord, ...]
+# Called with the prefix and the revision that a peer has announced.
+AnnouncementHandler = Callable[[str, int], None]
 
 
-class Fleet:
-    """Known peers by address, with the time of their last message.
+class Fleet(follower.Witnesses):
+    """Known peers, with the time of their last message.
 
     Attributes:
       process: Identity of this router.
+      on_announced: Called with each change that a peer has read.
     """
 
     def __init__(
@@ -76,10 +51,12 @@
         store: txn_store.TxnStore,
     ) -> None:
         self.process = process
+        self.on_announced: AnnouncementHandler | None = None
         self._address = address
         self._store = store
-        self._peers: dict[str, _Peer] = {}
-        self._by_process: dict[incarnation.Incarnation, _Peer] = {}
+        self._peers = gateway_peers.GatewayPeers(process.name)
+        self._revisions: dict[str, int] = {}
+        self._publishers: frozenset[str] = frozenset()
         self._pubsub: pynng_pubsub.PynngPubSub | None = None
 
     def set_pubsub(self, pubsub: pynng_pubsub.PynngPubSub) -> None:
@@ -90,27 +67,12 @@
 
     def peers(self) -> list[str]:
         """Returns the addresses of peers that are alive and not suspected."""
-        now_s = time.monotonic()
-        return [
-            address
-            for address, peer in self._peers.items()
-            if peer.suspect_until_s <= now_s
-            and now_s - peer.last_seen_s < self._silence_timeout_s
-        ]
+        return [p.address for p in self._peers.live(time.monotonic())]
 
     def addresses_by_name(self) -> dict[str, str]:
         """Returns the addresses of `peers` by router name."""
-        return {self._peers[a].process.name: a for a in self.peers()}
-
-    @property
-    def _heartbeat_interval_s(self) -> float:
-        return max(
-            _MIN_HEARTBEAT_INTERVAL_S, self.known_size / _MAX_HEARTBEATS_PER_S
-        )
-
-    @property
-    def _silence_timeout_s(self) -> float:
-        return _MAX_SILENT_INTERVALS * self._heartbeat_interval_s
+        live = self._peers.live(time.monotonic())
+        return {p.process.name: p.address for p in live}
 
     @property
     def size(self) -> int:
@@ -130,38 +92,33 @@
         peer = self._peers.get(address)
         return peer.process if peer else None
 
+    def count(self) -> int:
+        """See base class."""
+        return self._peers.heard_neighbours(time.monotonic())
+
+    def announce(self, prefix: str, revision: int) -> None:
+        """See base class."""
+        if revision > self._revisions.get(prefix, 0):
+            self._revisions[prefix] = revision
+            self._publish_heartbeat()
+
+    def subscribe_to(self, names: Iterable[str]) -> None:
+        """Sets the routers whose messages are received, next to neighbours."""
+        addresses = self.addresses_by_name()
+        self._publishers = frozenset(
+            addresses[name] for name in names if name in addresses
+        )
+        self._update_subscriptions()
+
     def on_answer(self, address: str, process: incarnation.Incarnation) -> None:
         """Records an answer of a peer."""
-        now_s = time.monotonic()
-        peer = self._peers.get(address)
-        if peer is None or peer.process != process:
-            self._add(address, process)
-            self._update_subscriptions()
-            return
-        if (
-            peer.suspect_until_s
-            or now_s - peer.last_seen_s >= self._silence_timeout_s
-        ):
-            _log.info("peer back", peer=str(process), address=address)
-        peer.suspect_until_s = 0.0
-        peer.last_seen_s = now_s
-
-    def _add(self, address: str, process: incarnation.Incarnation) -> None:
-        old = self._peers.get(address)
-        if old is not None:
-            self._by_process.pop(old.process, None)
-        peer = _Peer(process, time.monotonic())
-        self._peers[address] = self._by_process[process] = peer
-        _log.info("peer known", peer=str(process), address=address)
+        if self._peers.add(address, process, time.monotonic()):
+            self._on_new_peer(process, address)
 
     def on_failure(self, address: str) -> None:
         """Records that a peer did not answer."""
-        peer = self._peers.get(address)
-        if peer is None:
-            return
-        if not peer.suspect_until_s:
-            _log.warning("peer suspected", peer=str(peer.process))
-        peer.suspect_until_s = time.monotonic() + _SUSPECT_DURATION_S
+        if self._peers.on_failure(address, time.monotonic()):
+            _log.warning("peer suspected", peer=str(self.process_at(address)))
 
     async def run_heartbeat(self) -> None:
         """Publishes heartbeats and redials silent peers until cancelled."""
@@ -170,48 +127,47 @@
                 since_publish_s = (
                     time.monotonic() - self._pubsub.last_published_s
                 )
-                if since_publish_s >= self._heartbeat_interval_s:
-                    self._pubsub.publish(liveness.Alive(self._address))
+                if since_publish_s >= _HEARTBEAT_INTERVAL_S:
+                    self._publish_heartbeat()
                 self._redial_silent(self._pubsub)
-            await asyncio.sleep(self._heartbeat_interval_s / 2)
+            await asyncio.sleep(_HEARTBEAT_CHECK_INTERVAL_S)
 
-    def _redial_silent(self, pubsub: pynng_pubsub.PynngPubSub) -> None:
-        """Replaces connections to silent peers, and removes long silent peers.
+    def _publish_heartbeat(self) -> None:
+        if self._pubsub:
+            self._pubsub.publish(
+                liveness.Alive(self._address, dict(self._revisions))
+            )
 
-        A connection may stop delivering messages while a new one would work.
-        """
+    def _redial_silent(self, pubsub: pynng_pubsub.PynngPubSub) -> None:
+        """Replaces connections to silent peers and removes lost peers."""
         now_s = time.monotonic()
-        forgotten = [
-            address
-            for address, peer in self._peers.items()
-            if now_s - peer.last_seen_s >= _FORGET_AFTER_S
-        ]
-        if len(forgotten) < len(self._peers):
-            # If all peers are silent, this router itself is cut off.
-            for address in forgotten:
-                self._by_process.pop(self._peers.pop(address).process, None)
-        for address, peer in self._peers.items():
-            if (
-                now_s - max(peer.last_seen_s, peer.last_redial_s)
-                >= self._silence_timeout_s
-            ):
-                peer.last_redial_s = now_s
-                pubsub.disconnect(address)
+        self._peers.forget_silent(now_s)
+        for address in self._peers.take_silent_neighbours(now_s):
+            pubsub.disconnect(address)
         self._update_subscriptions()
 
     def _update_subscriptions(self) -> None:
         if self._pubsub:
-            self._pubsub.set_peers(set(self._peers))
+            self._pubsub.set_peers(
+                set(self._peers.neighbours | self._publishers)
+            )
 
     def _on_any_message(self, sender: incarnation.Incarnation) -> None:
-        peer = self._by_process.get(sender)
-        if peer is not None:
-            peer.last_seen_s = time.monotonic()
+        self._peers.on_message(sender, time.monotonic())
 
     def _on_alive(
         self, sender: incarnation.Incarnation, msg: liveness.Alive
     ) -> None:
         self.on_answer(msg.address, sender)
+        if self.on_announced:
+            for prefix, revision in msg.revisions.items():
+                self.on_announced(prefix, revision)
+
+    def _on_new_peer(
+        self, process: incarnation.Incarnation, address: str
+    ) -> None:
+        _log.info("peer known", peer=str(process), address=address)
+        self._update_subscriptions()
 
     async def run(self) -> None:
         """Reads the routers' records at intervals until cancelled."""
@@ -222,37 +178,32 @@
             await asyncio.sleep(_READ_INTERVAL_S)
             await self.read()
 
-    async def read(self, *, stale_ok: bool = True) -> Members | refusal.Refusal:
+    async def read(self, *, stale_ok: bool = True) -> refusal.Refusal | None:
         """Reads the routers' records and adds routers that are new.
 
         Args:
           stale_ok: Whether the store may give a cheaper reply that is a few
             seconds old.
+
+        Returns:
+          Why the records could not be read; None if they were.
         """
         result = await self._store.get_prefix(
-            store_record.ROUTER_PREFIX, timeout_s=_TIMEOUT_S, stale_ok=stale_ok
+            member_record.MEMBER_PREFIX,
+            timeout_s=_TIMEOUT_S,
+            stale_ok=stale_ok,
         )
         if isinstance(result, refusal.Refusal):
             return result
-        records = member_records.decode(result.entries)
-        self._add_members(records)
-        return Members(
-            tuple(result.entries),
-            tuple(records.values()),
-        )
-
-    def _add_members(
-        self,
-        members: Mapping[incarnation.Incarnation, store_record.RouterRecord],
-    ) -> None:
-        """Adds peers from their records.
-
-        An address that is known already keeps its process.
-        """
-        for process, record in members.items():
-            address = record.address
-            if process.name != self.process.name and (
-                address not in self._peers
-            ):
-                self._add(address, process)
-        self._update_subscriptions()
+        records: dict[str, member_record.MemberRecord] = {}
+        for item in result.entries:
+            name = item.key.removeprefix(member_record.MEMBER_PREFIX)
+            try:
+                records[name] = member_record.decode(item.value)
+            except msgspec.MsgspecError as exc:
+                _log.warning(
+                    "unreadable member record", key=item.key, error=str(exc)
+                )
+        for peer in self._peers.on_records(records, time.monotonic()):
+            self._on_new_peer(peer.process, peer.address)
+        return None
--- a/hibiscuspass/gateway/gateway_metrics.py
+++ b/hibiscuspass/gateway/gateway_metrics.py
@@ -41,6 +41,12 @@
             "Prepaid tokens borrowed from peers.",
             registry=registry,
         )
+        self._store_calls = prometheus_client.Counter(
+            "hibiscuspass_gateway_store_calls",
+            "Calls of the metadata store by operation and prefix of the keys.",
+            ["purpose"],
+            registry=registry,
+        )
         self._version = prometheus_client.Gauge(
             "hibiscuspass_gateway_config_version",
             "Version of the configuration in force.",
@@ -63,6 +69,10 @@
         """Records tokens that a peer lent to this router."""
         self._borrowed.inc(tokens)
 
+    def on_store_call(self, purpose: str) -> None:
+        """Records a call of the metadata store."""
+        self._store_calls.labels(purpose).inc()
+
     def on_version(self, version: int) -> None:
         """Records the version of the configuration that is used."""
         self._version.set(version)
--- /dev/null
+++ b/hibiscuspass/gateway/loans.py
@@ -0,0 +1,133 @@
+"""Borrows prepaid tokens of other routers."""
+
+import asyncio
+import itertools
+import random
+import time
+
+import attrs
+import structlog
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
+from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import gateway_metrics
+from hibiscuspass.peers import transport as transport_lib
+
+_log = structlog.get_logger(__name__)
+
+_TIMEOUT_S = 0.3
+# Peers that are asked for a loan at the same time.
+_CONCURRENT_PEERS = 4
+
+
+@attrs.frozen
+class Borrowing:
+    """Outcome of asking holders for a loan.
+
+    Attributes:
+      all_answered: Whether all holders that were asked answered.
+      store_asked: Whether those that answered could draw from the store.
+    """
+
+    all_answered: bool
+    store_asked: bool
+
+
+class Loans:
+    """Asks the holders of a workspace for tokens."""
+
+    def __init__(
+        self,
+        accounts: accounts_lib.PrepaidAccounts,
+        transport: transport_lib.Transport,
+        fleet: fleet_lib.Fleet,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._accounts = accounts
+        self._transport = transport
+        self._fleet = fleet
+        self._metrics = metrics
+        # Tokens that a peer could lend when it last answered, by address and
+        # workspace.
+        self._available: dict[tuple[str, str], int] = {}
+
+    async def borrow(
+        self,
+        workspace: str,
+        tokens: int,
+        priority: int,
+        single_asks: int = 0,
+    ) -> Borrowing:
+        """Borrows from holders of a workspace's tokens.
+
+        Args:
+          workspace: Workspace that pays.
+          tokens: Tokens that must be available afterwards.
+          priority: Rank of the request that needs them, 0 first.
+          single_asks: Holders that are asked one after the other. Of the next
+            ones several are asked at the same time, which may lend more than
+            is needed.
+        """
+        names = self._fleet.addresses_by_name()
+        peers = [
+            names[name]
+            for name in self._accounts.holders.of(workspace)
+            if name in names
+        ]
+        random.shuffle(peers)
+        peers.sort(key=lambda p: -self._available.get((p, workspace), 0))
+        replies: list[messages.Lent | None] = []
+        starts = (
+            *range(single_asks),
+            *range(single_asks, len(peers), _CONCURRENT_PEERS),
+        )
+        for start, end in itertools.pairwise((*starts, len(peers))):
+            batch = peers[start:end]
+            missing = tokens - self._accounts.available(workspace)
+            if missing <= 0:
+                break
+            wanted = self._accounts.wanted_loan(
+                workspace, missing, time.monotonic()
+            )
+            request = messages.Borrow(workspace, missing, wanted, priority)
+            replies += await asyncio.gather(
+                *(self._request_loan(p, request) for p in batch)
+            )
+        lent = [reply for reply in replies if reply]
+        return Borrowing(
+            all_answered=len(lent) == len(replies),
+            store_asked=bool(lent) and all(r.store_asked for r in lent),
+        )
+
+    async def _request_loan(
+        self, peer: str, request: messages.Borrow
+    ) -> messages.Lent | None:
+        reply = await self._transport.request(
+            peer, request, timeout_s=_TIMEOUT_S
+        )
+        if not isinstance(reply, messages.Lent):
+            self._fleet.on_failure(peer)
+            return None
+        self._fleet.on_answer(peer, incarnation.parse(reply.lender))
+        self.receive(reply)
+        return reply
+
+    def receive(self, lent: messages.Lent) -> None:
+        """Adds a loan to the accounts of this router."""
+        for workspace, drawn in lent.drawn.items():
+            self._accounts.ledger.on_totals(
+                {workspace: drawn}, lent.revisions.get(workspace, 0)
+            )
+        new_tokens = self._accounts.receive(lent, time.monotonic())
+        for workspace, available in lent.available.items():
+            self._available[lent.address, workspace] = available
+        if new_tokens:
+            self._metrics.on_borrowed(new_tokens)
+            _log.info(
+                "borrowed prepaid tokens",
+                lender=lent.lender,
+                tokens=new_tokens,
+                workspaces=sorted(lent.totals),
+            )
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -1,7 +1,6 @@
 """Draws, returns, borrows and lends the prepaid tokens of this router."""
 
 import asyncio
-import random
 import time
 
 import attrs
@@ -17,6 +16,7 @@
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import ledger_writer
+from hibiscuspass.gateway import loans
 from hibiscuspass.gateway import registration as registration_lib
 from hibiscuspass.gateway import revision_age_tracker
 from hibiscuspass.peers import pynng_pubsub
@@ -36,8 +36,6 @@
 # Interval of the checks whether the limits in the store must be renewed.
 _RENEWAL_CHECK_INTERVAL_S = 0.25
 _PEER_TIMEOUT_S = 0.3
-# Peers that are asked for a loan at the same time.
-_CONCURRENT_PEERS = 4
 # `Retry-After` for callers while tokens can't be drawn or borrowed.
 _RETRY_AFTER_S = 3.0
 # For this time after a failed search, requests for as many tokens or more are
@@ -77,7 +75,6 @@
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self.accounts = accounts
-        self._metrics = metrics
         self._transport = transport
         self._fleet = fleet
         age_tracker = revision_age_tracker.RevisionAgeTracker(transport, fleet)
@@ -85,7 +82,7 @@
             accounts, store, pubsub, age_tracker, metrics
         )
         self._registration = registration_lib.Registration(
-            accounts, fleet, age_tracker, self._writer
+            accounts, store, fleet, age_tracker, self._writer
         )
         self._searches: dict[str, asyncio.Lock] = {}
         self._failed_searches: dict[tuple[str, int], _FailedSearch] = {}
@@ -93,7 +90,7 @@
         # Keeps references to draws that go on after their request stopped
         # waiting.
         self._draws: set[asyncio.Task[bool]] = set()
-        self._peer_available: dict[tuple[str, str], int] = {}
+        self._loans = loans.Loans(accounts, transport, fleet, metrics)
         transport.register(messages.Borrow, self._on_borrow)
         transport.register(messages.Lent, self._on_lent)
         pubsub.register(messages.Totals, self._on_totals)
@@ -112,11 +109,11 @@
                 await self.refill()
             if time.monotonic() >= next_report_s:
                 next_report_s += _REPORT_INTERVAL_S
+                now_s = time.monotonic()
+                expires_s = self.accounts.ledger.usage_limits.expires_at_s()
                 _log.info(
                     "prepaid positions",
-                    sealed_for_s=self.accounts.limit_expires_in_s(
-                        time.monotonic()
-                    ),
+                    sealed_for_s=round(max(0.0, expires_s - now_s), 2),
                     workspaces=self.accounts.token_counts(),
                 )
             if self._can_write and self.accounts.is_write_due(time.monotonic()):
@@ -135,6 +132,8 @@
         """
         self.accounts.routers = self._fleet.size
         self.accounts.holders.set_names(self._fleet.addresses_by_name())
+        # Holders write the same records. Totals of the others spare conflicts.
+        self._fleet.subscribe_to(self.accounts.colleagues())
         if not self._can_write:
             return False
         changes = self.accounts.planned_changes(time.monotonic())
@@ -204,28 +203,39 @@
     ) -> usage_lib.Hold | refusal.Refusal:
         """Draws tokens from the store, then borrows from peers.
 
-        A router that is not a holder of the workspace asks a holder first.
+        A router that is not a holder of the workspace asks the holders first.
+        They draw for it, so it draws only if one of them did not answer or
+        could not draw.
         During an outage of the store, tokens of this router beyond its usage
         limits become usable when the limits expire, so a short wait may help.
         """
         hold = self.accounts.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
+        borrowed = loans.Borrowing(all_answered=False, store_asked=False)
         if not self.accounts.holders.is_holder(workspace):
-            await self._borrow(workspace, tokens, priority, concurrency=1)
+            borrowed = await self._loans.borrow(
+                workspace, tokens, priority, single_asks=2
+            )
             hold = self.accounts.hold(
                 workspace, tokens, priority, time.monotonic()
             )
             if hold:
                 return hold
         reserved = self.accounts.reserve(workspace, priority, time.monotonic())
-        store_asked = await self._draw_for(workspace, tokens + reserved)
-        hold = self.accounts.hold(workspace, tokens, priority, time.monotonic())
-        if hold:
-            return hold
-        all_peers_answered = await self._borrow(
-            workspace, tokens + reserved, priority
-        )
+        store_asked = borrowed.store_asked
+        all_peers_answered = borrowed.all_answered
+        if not (store_asked and all_peers_answered):
+            store_asked = await self._draw_for(workspace, tokens + reserved)
+            hold = self.accounts.hold(
+                workspace, tokens, priority, time.monotonic()
+            )
+            if hold:
+                return hold
+            borrowed = await self._loans.borrow(
+                workspace, tokens + reserved, priority
+            )
+            all_peers_answered = borrowed.all_answered
         now_s = time.monotonic()
         hold = self.accounts.hold(workspace, tokens, priority, now_s)
         if hold:
@@ -288,81 +298,23 @@
         done, _ = await asyncio.wait({draw}, timeout=_URGENT_DRAW_WAIT_S)
         return draw in done and draw.result()
 
-    async def _borrow(
-        self,
-        workspace: str,
-        tokens: int,
-        priority: int,
-        concurrency: int = _CONCURRENT_PEERS,
-    ) -> bool:
-        """Borrows from holders of a workspace's tokens.
-
-        Returns:
-          Whether all of them answered.
-        """
-        names = self._fleet.addresses_by_name()
-        peers = [
-            names[name]
-            for name in self.accounts.holders.of(workspace)
-            if name in names
-        ]
-        random.shuffle(peers)
-        peers.sort(key=lambda p: -self._peer_available.get((p, workspace), 0))
-        answered = True
-        for start in range(0, len(peers), concurrency):
-            batch = peers[start : start + concurrency]
-            missing = tokens - self.accounts.available(workspace)
-            if missing <= 0:
-                return True
-            wanted = self.accounts.wanted_loan(
-                workspace, missing, time.monotonic()
-            )
-            request = messages.Borrow(workspace, missing, wanted, priority)
-            replies = await asyncio.gather(
-                *(self._request_loan(p, request) for p in batch)
-            )
-            answered = answered and all(replies)
-        return answered
-
-    async def _request_loan(self, peer: str, request: messages.Borrow) -> bool:
-        reply = await self._transport.request(
-            peer, request, timeout_s=_PEER_TIMEOUT_S
-        )
-        if not isinstance(reply, messages.Lent):
-            self._fleet.on_failure(peer)
-            return False
-        self._fleet.on_answer(peer, incarnation.parse(reply.lender))
-        self._receive_loan(reply)
-        return True
-
-    def _receive_loan(self, lent: messages.Lent) -> None:
-        new_tokens = self.accounts.receive(lent, time.monotonic())
-        for workspace, available in lent.available.items():
-            self._peer_available[lent.address, workspace] = available
-        if new_tokens:
-            self._metrics.on_borrowed(new_tokens)
-            _log.info(
-                "borrowed prepaid tokens",
-                lender=lent.lender,
-                tokens=new_tokens,
-                workspaces=sorted(lent.totals),
-            )
-
     async def _on_borrow(
         self, peer: incarnation.Incarnation, msg: messages.Borrow
     ) -> messages.Lent:
+        store_asked = True
         if (
             peer.name not in self.accounts.holders.of(msg.workspace)
             and self.accounts.available(msg.workspace) < msg.least
         ):
             # A router that is not a holder leaves the draws to the holders.
-            await self._draw_for(msg.workspace, msg.least)
-        return self.accounts.lend(peer, msg, time.monotonic())
+            store_asked = await self._draw_for(msg.workspace, msg.least)
+        lent = self.accounts.lend(peer, msg, time.monotonic())
+        return attrs.evolve(lent, store_asked=store_asked)
 
     async def _on_lent(
         self, _: incarnation.Incarnation, msg: messages.Lent
     ) -> messages.Accepted:
-        self._receive_loan(msg)
+        self._loans.receive(msg)
         return messages.Accepted()
 
     def _on_totals(
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -11,36 +11,37 @@
 import prometheus_client
 import structlog
 
+from hibiscuspass.backends import counted_store
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core.forwarding import backend_selectors as selectors_lib
+from hibiscuspass.core.forwarding import messages as forwarding_messages
 from hibiscuspass.core.forwarding import repeat_budget
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.core.prepaid import draw_policy
 from hibiscuspass.core.prepaid import messages as prepaid_messages
 from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
-from hibiscuspass.gateway import backend_follower
-from hibiscuspass.gateway import config_follower
 from hibiscuspass.gateway import dispatch
 from hibiscuspass.gateway import dispatch_announcer
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import fleet_key as fleet_key_lib
-from hibiscuspass.gateway import follower
 from hibiscuspass.gateway import forwarder as forwarder_lib
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import listener
+from hibiscuspass.gateway import load_monitors
+from hibiscuspass.gateway import member_lease
 from hibiscuspass.gateway import prepaid_runtime
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import request_reader
+from hibiscuspass.gateway import store_followers
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.peers import pynng_pubsub
-from hibiscuspass.peers import pynng_transport
+from hibiscuspass.peers import request_transport
+from hibiscuspass.peers import stream_transport
 from hibiscuspass.platform import headers
-from hibiscuspass.platform import operator_config
-from hibiscuspass.platform import server_list
 from hibiscuspass.settings import gateway as settings_lib
 from hibiscuspass.telemetry import recorder as recorder_lib
 
@@ -52,17 +53,19 @@
 # Time at the end of the grace period for returning prepaid tokens.
 _TOKEN_RETURN_S = 1.0
 _RETRY_AFTER_S = 0.3
-# Share of the contact time (`contact_ms`) for which the store may hold a poll.
-# The rest leaves time to notice a lost connection within the contact time.
-_POLL_WAIT_SHARE = 2 / 3
-
+# Interval of the log lines with the numbers of calls of the store.
+_REPORT_INTERVAL_S = 10.0
 
+# Messages of peers that are handled at the same time.
+_MAX_HANDLERS = 64
 _MESSAGE_TYPES = (
     prepaid_messages.Borrow,
     prepaid_messages.Lent,
     prepaid_messages.Accepted,
     prepaid_messages.AskAge,
     prepaid_messages.Age,
+    forwarding_messages.Load,
+    forwarding_messages.Noted,
 )
 
 
@@ -78,7 +81,6 @@
         self, cfg: settings_lib.GatewaySettings, store: txn_store.TxnStore
     ) -> None:
         self._cfg = cfg
-        self._store = store
         self.process = incarnation.Incarnation(
             cfg.process.name, os.urandom(6).hex()
         )
@@ -91,6 +93,9 @@
         self._metrics = gateway_metrics.GatewayMetrics(
             prometheus_client.CollectorRegistry()
         )
+        self._store = counted_store.CountedStore(
+            store, self._metrics.on_store_call
+        )
 
     async def start(self) -> None:
         """Starts to listen and to follow the store.
@@ -99,39 +104,34 @@
         servers are read and it has joined the fleet.
         """
         cfg = self._cfg
-        self._config_follower = config_follower.ConfigFollower(
-            operator_config.KEY, operator_config.decode, self._on_table
-        )
-        self._backend_follower = backend_follower.BackendFollower(
-            server_list.PREFIX, server_list.decode
-        )
         self._fleet = fleet_lib.Fleet(
             self.process, cfg.listen.peers, self._store
         )
+        self._followers = store_followers.make_store_followers(
+            self._store, self._fleet, self._on_table, cfg.contact_ms / 1000
+        )
+        self._fleet.on_announced = self._followers.on_announced
         self.accounts = accounts_lib.PrepaidAccounts(
             self.process, cfg.listen.peers, draw_policy.DrawConfig()
         )
         self._upstream = upstream_lib.Upstream()
         self._prepaid: prepaid_runtime.PrepaidRuntime | None = None
         self._forwarder: forwarder_lib.Forwarder | None = None
-        self._transport: pynng_transport.PynngTransport | None = None
+        self._transport: request_transport.RequestTransport | None = None
         self._pubsub: pynng_pubsub.PynngPubSub | None = None
         self._listener = listener.Listener(
             self._on_request, lambda: self._is_ready, self._metrics.registry
         )
         await self._listener.start(cfg.listen)
-        wait_s = cfg.contact_ms / 1000 * _POLL_WAIT_SHARE
+        for work in self._followers.tasks():
+            self._spawn(work)
+        self._spawn(self._report_store_calls())
         self._spawn(
-            follower.Follower(
+            member_lease.MemberLease(
+                self.process,
+                cfg.listen.peers,
                 self._store,
-                operator_config.PREFIX,
-                self._config_follower,
-                wait_s,
-            ).run()
-        )
-        self._spawn(
-            follower.Follower(
-                self._store, server_list.PREFIX, self._backend_follower, wait_s
+                self._followers.on_store_unreachable,
             ).run()
         )
         self._spawn(self._join_fleet())
@@ -199,8 +199,8 @@
     def _is_ready(self) -> bool:
         return (
             self._stopping_since_s is None
-            and self._config_follower.table is not None
-            and self._backend_follower.is_loaded
+            and self._followers.config.table is not None
+            and self._followers.backends.is_loaded
             and self._forwarder is not None
         )
 
@@ -208,13 +208,13 @@
         cfg = self._cfg
         key = await fleet_key_lib.get_or_create_key(self._store)
         recorder = recorder_lib.Recorder(self.process, capacity=1)
-        self._transport = pynng_transport.make_transport(
+        self._transport = stream_transport.make_transport(
             self.process,
             cfg.listen.peers,
             key,
             recorder,
             message_types=_MESSAGE_TYPES,
-            max_handlers=16,
+            max_handlers=_MAX_HANDLERS,
         )
         self._pubsub = pynng_pubsub.make_pubsub(
             self.process, cfg.listen.peers, key
@@ -235,16 +235,19 @@
             cfg.process.failure_domain, seed
         )
         announcer = dispatch_announcer.DispatchAnnouncer(
-            self._pubsub, selectors, self._find_service, self._fleet
+            self._pubsub, selectors, self._find_service
         )
         dispatcher = dispatch.Dispatcher(
             self._upstream,
-            self._backend_follower.backends,
+            self._followers.backends.backends,
             selectors,
             self._repeats,
-            lambda: self._config_follower.table,
+            lambda: self._followers.config.table,
             self._fleet,
             announcer,
+            load_monitors.LoadMonitors(
+                self._transport, self._fleet, selectors, self._find_service
+            ),
             self._metrics,
         )
         self._forwarder = forwarder_lib.Forwarder(
@@ -256,8 +259,13 @@
         self._spawn(self._fleet.run_heartbeat())
         self._spawn(self._prepaid.run())
 
+    async def _report_store_calls(self) -> None:
+        while True:
+            await asyncio.sleep(_REPORT_INTERVAL_S)
+            _log.info("store calls", calls=dict(self._store.calls))
+
     def _find_service(self, name: str) -> route_lib.Service | None:
-        table = self._config_follower.table
+        table = self._followers.config.table
         return table.services.get(name) if table else None
 
     def _on_table(self, table: route_table.RouteTable) -> None:
@@ -290,7 +298,7 @@
 
     async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
         now_s = time.monotonic()
-        table = self._config_follower.table
+        table = self._followers.config.table
         if table is None or self._forwarder is None:
             return _reject(
                 http,
--- a/hibiscuspass/gateway/registration.py
+++ b/hibiscuspass/gateway/registration.py
@@ -7,6 +7,7 @@
 import structlog
 
 from hibiscuspass.backends import kv_store
+from hibiscuspass.backends import txn_store
 from hibiscuspass.core import refusal
 from hibiscuspass.core.prepaid import ledger_view
 from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
@@ -14,11 +15,13 @@
 from hibiscuspass.core.prepaid import takeover
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import ledger_writer
+from hibiscuspass.gateway import member_records
 from hibiscuspass.gateway import revision_age_tracker
 
 _log = structlog.get_logger(__name__)
 
 _RETRY_INTERVAL_S = 1.0
+_READ_TIMEOUT_S = 1.0
 
 
 class Registration:
@@ -27,11 +30,13 @@
     def __init__(
         self,
         accounts: accounts_lib.PrepaidAccounts,
+        store: txn_store.TxnStore,
         fleet: fleet_lib.Fleet,
         age_tracker: revision_age_tracker.RevisionAgeTracker,
         writer: ledger_writer.LedgerWriter,
     ) -> None:
         self._accounts = accounts
+        self._store = store
         self._fleet = fleet
         self._age_tracker = age_tracker
         self._writer = writer
@@ -44,21 +49,40 @@
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
     async def _register(self) -> bool:
-        members = await self._fleet.read(stale_ok=False)
-        if isinstance(members, refusal.Refusal):
+        name = self._fleet.process.name
+        own_records = await self._store.get_prefix(
+            f"{store_record.ROUTER_PREFIX}{name}/", timeout_s=_READ_TIMEOUT_S
+        )
+        if isinstance(own_records, refusal.Refusal):
+            return False
+        if await self._fleet.read(stale_ok=False):
             return False
         self._accounts.routers = self._fleet.size
         self._accounts.holders.set_names(self._fleet.addresses_by_name())
-        self._accounts.load_usage_rates(members.records)
+        await self._load_usage_rates()
         earlier = {
             item.key: item
-            for item in members.entries
+            for item in own_records.entries
             if store_record.is_earlier_start(item.key, self._fleet.process)
         }
         return await self._writer.register(
             list(earlier), await self._find_token_takeover(earlier)
         )
 
+    async def _load_usage_rates(self) -> None:
+        """Reads the usage rates of all routers; they are not essential."""
+        records = await self._store.get_prefix(
+            store_record.ROUTER_PREFIX,
+            timeout_s=_READ_TIMEOUT_S,
+            stale_ok=True,
+        )
+        if isinstance(records, refusal.Refusal):
+            _log.warning("usage rates not read", detail=records.detail)
+            return
+        self._accounts.load_usage_rates(
+            member_records.decode(records.entries).values()
+        )
+
     async def _find_token_takeover(
         self, earlier: Mapping[str, kv_store.KeyValue]
     ) -> ledger_view.TokenTakeover | None:
--- /dev/null
+++ b/hibiscuspass/gateway/store_followers.py
@@ -0,0 +1,103 @@
+"""Followers of the configuration and of the list of backend servers."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from hibiscuspass.backends import txn_store
+from hibiscuspass.core.forwarding import route_table
+from hibiscuspass.gateway import backend_follower
+from hibiscuspass.gateway import config_follower
+from hibiscuspass.gateway import follower
+from hibiscuspass.platform import operator_config
+from hibiscuspass.platform import server_list
+
+# Interval of the checks whether replies of waiting polls were lost.
+_CHECK_INTERVAL_S = 0.25
+# Shortest time between two replies with changes of the backend servers, as a
+# share of the contact time. During a release each change would otherwise cost
+# one call per router.
+_BACKEND_INTERVAL_SHARE = 0.2
+
+
+@attrs.define
+class StoreFollowers:
+    """All followers of one gateway.
+
+    Attributes:
+      config: Keeps the newest configuration.
+      backends: Keeps the set of backend servers.
+    """
+
+    config: config_follower.ConfigFollower
+    backends: backend_follower.BackendFollower
+    _followers: Sequence[follower.Follower]
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Returns the work of all followers, which runs until cancelled."""
+        return [*(f.run() for f in self._followers), self._check()]
+
+    def on_announced(self, prefix: str, revision: int) -> None:
+        """Handles the announcement of a change that a peer has read."""
+        for each in self._followers:
+            if each.prefix == prefix:
+                each.on_announced(revision)
+
+    def on_store_unreachable(self) -> None:
+        """Reads all prefixes again as soon as the store answers."""
+        for each in self._followers:
+            each.on_store_unreachable()
+
+    async def _check(self) -> None:
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            for each in self._followers:
+                each.check()
+
+
+def make_store_followers(
+    store: txn_store.TxnStore,
+    witnesses: follower.Witnesses,
+    on_table: Callable[[route_table.RouteTable], None],
+    contact_s: float,
+) -> StoreFollowers:
+    """Creates the followers of a gateway.
+
+    Args:
+      store: Store of the configuration and the list of backend servers.
+      witnesses: Peers that follow the same prefixes.
+      on_table: Called with each new configuration.
+      contact_s: Time within which a lost connection to the store must be
+        noticed, in seconds.
+    """
+    config = config_follower.ConfigFollower(
+        operator_config.KEY, operator_config.decode, on_table
+    )
+    backends = backend_follower.BackendFollower(
+        server_list.PREFIX, server_list.decode
+    )
+    return StoreFollowers(
+        config,
+        backends,
+        (
+            follower.Follower(
+                store,
+                operator_config.PREFIX,
+                config,
+                witnesses,
+                contact_s=contact_s,
+            ),
+            follower.Follower(
+                store,
+                server_list.PREFIX,
+                backends,
+                witnesses,
+                contact_s=contact_s,
+                min_interval_s=contact_s * _BACKEND_INTERVAL_SHARE,
+            ),
+        ),
+    )
--- a/hibiscuspass/platform/store.py
+++ b/hibiscuspass/platform/store.py
@@ -26,6 +26,8 @@
     http.HTTPStatus.TOO_MANY_REQUESTS,
     http.HTTPStatus.SERVICE_UNAVAILABLE,
 )
+# Lease of keys that stay until they are removed.
+_NO_LEASE = 0
 # The store answers 410 if the requested part of its history was discarded.
 _HISTORY_GONE = http.HTTPStatus.GONE
 
@@ -111,14 +113,20 @@
         deletes: Sequence[str] = (),
         *,
         timeout_s: float,
+        lease: txn_store.Lease | None = None,
     ) -> txn_store.Committed | txn_store.Conflict | refusal.Refusal:
         """See base class."""
+        lease_id = lease.lease_id if lease else _NO_LEASE
         body = {
             "expected_rev": [
                 {"key": key, "revision": rev} for key, rev in expected.items()
             ],
             "writes": [
-                {"key": key, "value": base64.b64encode(value).decode()}
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": lease_id,
+                }
                 for key, value in writes.items()
             ],
             "remove": list(deletes),
@@ -136,8 +144,40 @@
                 if i.get("revision")
             ]
             return txn_store.Conflict({i.key: i for i in items})
+        if status == http.HTTPStatus.NOT_FOUND and lease:
+            return _lease_ended(lease)
         return _unexpected("kv-txn", status)
 
+    async def create_lease(
+        self, ttl_s: float, *, timeout_s: float
+    ) -> txn_store.Lease | refusal.Refusal:
+        """See base class."""
+        body = {"ttl_ms": round(ttl_s * 1000)}
+        reply = await self._call("POST", "/v1/kv-lease", timeout_s, body=body)
+        if isinstance(reply, refusal.Refusal):
+            return reply
+        status, answer = reply
+        if status != http.HTTPStatus.OK:
+            return _unexpected("kv-lease", status)
+        return txn_store.Lease(
+            int(answer["lease"]), float(answer["ttl_ms"]) / 1000
+        )
+
+    async def renew_lease(
+        self, lease: txn_store.Lease, *, timeout_s: float
+    ) -> txn_store.Lease | refusal.Refusal:
+        """See base class."""
+        path = f"/v1/kv-keep/{lease.lease_id}"
+        reply = await self._call("POST", path, timeout_s)
+        if isinstance(reply, refusal.Refusal):
+            return reply
+        status, _ = reply
+        if status == http.HTTPStatus.NOT_FOUND:
+            return _lease_ended(lease)
+        if status != http.HTTPStatus.OK:
+            return _unexpected("kv-keep", status)
+        return lease
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
@@ -180,6 +220,12 @@
             )
 
 
+def _lease_ended(lease: txn_store.Lease) -> refusal.Refusal:
+    return refusal.Refusal(
+        reason_lib.Reason.STALE, f"lease {lease.lease_id} has ended"
+    )
+
+
 def _unexpected(call: str, status: int) -> refusal.Refusal:
     _log.warning("unexpected status from the store", call=call, status=status)
     return refusal.Refusal(
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -32,6 +32,21 @@
     late_share: float = 0.0
 
 
+@attrs.define
+class _Lease:
+    """A lease with its keys.
+
+    Attributes:
+      ttl_ms: Time in milliseconds after which it ends unless renewed.
+      end: Pending call that ends it.
+      keys: Keys that are removed when it ends.
+    """
+
+    ttl_ms: int
+    end: asyncio.TimerHandle | None = None
+    keys: set[str] = attrs.field(factory=set)
+
+
 class MetadataStore:
     """Keys with revisions, conditional writes and long polls.
 
@@ -48,6 +63,7 @@
         self._rng = rng
         self._events: list[tuple[int, str]] = []
         self._late_writes: set[asyncio.Task[None]] = set()
+        self._leases: dict[int, _Lease] = {}
 
     def put(self, key: str, value: bytes) -> None:
         """Writes a key unconditionally, as operators and backend servers do."""
@@ -60,6 +76,8 @@
         app.router.add_get("/v1/kv-range", self._range)
         app.router.add_get("/v1/kv-watch", self._watch)
         app.router.add_post("/v1/kv-txn", self._txn)
+        app.router.add_post("/v1/kv-lease", self._create_lease)
+        app.router.add_post("/v1/kv-keep/{lease}", self._renew_lease)
         return app
 
     async def _get(self, req: web.Request) -> web.Response:
@@ -115,6 +133,9 @@
         writes = {
             w["key"]: base64.b64decode(w["value"]) for w in body["writes"]
         }
+        leased = {w["key"]: w["lease"] for w in body["writes"] if w["lease"]}
+        if not self._leases.keys() >= set(leased.values()):
+            return web.json_response({}, status=404)
         fraction = self._rng.random()
         if fraction < self.faults.late_share:
             late_write = asyncio.create_task(
@@ -127,11 +148,46 @@
         if conflict is not None:
             return web.json_response({"items": conflict}, status=412)
         self._apply(expected, writes, body["remove"])
+        for key in writes:
+            for lease_id, lease in self._leases.items():
+                if leased.get(key) == lease_id:
+                    lease.keys.add(key)
+                else:
+                    lease.keys.discard(key)
         revision = self.revision
         if fraction < self.faults.late_share + self.faults.lost_share:
             await self._hang()
         return web.json_response({"revision": revision})
 
+    async def _create_lease(self, req: web.Request) -> web.Response:
+        await self._check()
+        ttl_ms = int(json.loads(await req.read())["ttl_ms"])
+        self.revision += 1
+        lease_id = self.revision
+        self._leases[lease_id] = _Lease(ttl_ms)
+        self._extend(lease_id)
+        return web.json_response({"lease": lease_id, "ttl_ms": ttl_ms})
+
+    async def _renew_lease(self, req: web.Request) -> web.Response:
+        await self._check()
+        lease_id = int(req.match_info["lease"])
+        if lease_id not in self._leases:
+            return web.json_response({}, status=404)
+        self._extend(lease_id)
+        return web.json_response({"ttl_ms": self._leases[lease_id].ttl_ms})
+
+    def _extend(self, lease_id: int) -> None:
+        lease = self._leases[lease_id]
+        if lease.end:
+            lease.end.cancel()
+        lease.end = asyncio.get_running_loop().call_later(
+            lease.ttl_ms / 1000, self._end_lease, lease_id
+        )
+
+    def _end_lease(self, lease_id: int) -> None:
+        lease = self._leases.pop(lease_id)
+        self._apply({}, {}, [k for k in lease.keys if k in self.items])
+
     async def _check(self) -> None:
         if self.faults.is_down:
             raise web.HTTPServiceUnavailable
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -41,6 +41,16 @@
         self.is_down = False
         self.loses_answers = False
         self.pending: list[PendingWrite] = []
+        self._leases: dict[int, txn_store.Lease] = {}
+        self._leased_keys: dict[str, int] = {}
+
+    def end_leases(self) -> None:
+        """Ends all leases, which removes their keys."""
+        for key in self._leased_keys:
+            self.items.pop(key, None)
+        self._leases = {}
+        self._leased_keys = {}
+        self.revision += 1
 
     def apply(
         self,
@@ -106,10 +116,15 @@
         deletes: Sequence[str] = (),
         *,
         timeout_s: float,
+        lease: txn_store.Lease | None = None,
     ) -> txn_store.Committed | txn_store.Conflict | refusal.Refusal:
         """See base class."""
         if self.is_down:
             return _down()
+        if lease and lease.lease_id not in self._leases:
+            return refusal.Refusal(reason_lib.Reason.STALE, "lease has ended")
+        if lease:
+            self._leased_keys |= dict.fromkeys(writes, lease.lease_id)
         if self.loses_answers:
             self.pending.append(
                 PendingWrite(dict(expected), dict(writes), tuple(deletes))
@@ -117,6 +132,27 @@
             return refusal.Refusal(reason_lib.Reason.TIMEOUT, "no answer")
         return self.apply(expected, writes, deletes)
 
+    async def create_lease(
+        self, ttl_s: float, *, timeout_s: float
+    ) -> txn_store.Lease | refusal.Refusal:
+        """See base class; a lease ends only by `end_leases`."""
+        if self.is_down:
+            return _down()
+        self.revision += 1
+        lease = txn_store.Lease(self.revision, ttl_s)
+        self._leases[lease.lease_id] = lease
+        return lease
+
+    async def renew_lease(
+        self, lease: txn_store.Lease, *, timeout_s: float
+    ) -> txn_store.Lease | refusal.Refusal:
+        """See base class."""
+        if self.is_down:
+            return _down()
+        if lease.lease_id not in self._leases:
+            return refusal.Refusal(reason_lib.Reason.STALE, "lease has ended")
+        return lease
+
 
 def _down() -> refusal.Refusal:
     return refusal.Refusal(reason_lib.Reason.UNAVAILABLE, "the store is down")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,14 +1,18 @@
 """Tests of the list of live peers and of bounds on the age of revisions."""
 
+import asyncio
+
 import attrs
 import pytest
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core import liveness
 from hibiscuspass.core import refusal
+from hibiscuspass.core.membership import member_record
 from hibiscuspass.core.prepaid import messages
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import member_lease
 from hibiscuspass.gateway import revision_age_tracker
 from tests import memory_store
 
@@ -97,6 +101,72 @@
     assert pubsub.forgotten == [_ADDRESS]
 
 
+def test_changes_are_announced_at_once_and_with_each_heartbeat() -> None:
+    """A peer whose reply was lost must learn of the change soon."""
+    pubsub = _FakePubSub()
+    fleet = _fleet(pubsub)
+    fleet.announce("op/", 7)
+    fleet.announce("op/", 6)
+    fleet._publish_heartbeat()
+    alive = liveness.Alive("10.0.0.1:7000", {"op/": 7})
+    assert pubsub.published == [alive, alive]
+
+
+def test_announcements_of_peers_are_passed_on() -> None:
+    """The followers compare them with what they have read themselves."""
+    heard: list[tuple[str, int]] = []
+    pubsub = _FakePubSub()
+    fleet = fleet_lib.Fleet(_OWN, "10.0.0.1:7000", memory_store.MemoryStore())
+    fleet.on_announced = lambda prefix, revision: heard.append(
+        (prefix, revision)
+    )
+    fleet.set_pubsub(pubsub)
+    message = liveness.Alive(_ADDRESS, {"op/": 9})
+    pubsub.handlers[liveness.Alive](_PEER, message)
+    assert heard == [("op/", 9)]
+    assert fleet.count() == 1
+
+
+async def test_unreadable_member_records_are_skipped() -> None:
+    """One bad record must not hide the other routers."""
+    store = memory_store.MemoryStore()
+    good = member_record.MemberRecord("10.0.0.3:7000", "1")
+    store.apply(
+        {},
+        {
+            "members/router-2": b"no record",
+            "members/router-3": member_record.encode(good),
+        },
+    )
+    fleet = fleet_lib.Fleet(_OWN, "10.0.0.1:7000", store)
+    assert await fleet.read() is None
+    assert fleet.addresses_by_name() == {"router-3": "10.0.0.3:7000"}
+
+
+async def test_member_lease_that_ended_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Leases may end during an outage although the router runs."""
+    monkeypatch.setattr(member_lease, "_RENEWAL_INTERVAL_S", 0.01)
+    failures: list[None] = []
+    store = memory_store.MemoryStore()
+    lease = member_lease.MemberLease(
+        _OWN, "10.0.0.1:7000", store, lambda: failures.append(None)
+    )
+    task = asyncio.create_task(lease.run())
+    await asyncio.sleep(0.05)
+    assert "members/router-1" in store.items
+    store.end_leases()
+    assert "members/router-1" not in store.items
+    await asyncio.sleep(0.05)
+    assert "members/router-1" in store.items
+    assert not failures
+    store.is_down = True
+    await asyncio.sleep(0.05)
+    assert failures
+    task.cancel()
+
+
 class _Transport:
     """Answers each request with the next reply."""
 
