End connections whose bytes are no answer

Cause: the library bounds lines and headers but neither informational heads nor chunk extensions and trailers, so a server that sends them without end was read until the time limit. A connection that ended after a status 100 raised an error that nothing caught, and the caller got status 500. The text of a failure held the bytes that the server had sent, which may belong to another caller, in the log and in the answer. Comments of a stream were charged as events.

The overhead of an answer is bounded by 64 KiB and 16 bytes per byte of the body.

--- a/hibiscuspass/core/forwarding/event_scanner.py
+++ b/hibiscuspass/core/forwarding/event_scanner.py
@@ -4,6 +4,8 @@
 
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+# A block whose lines all begin with a colon is a comment, no event.
+_COMMENT = re.compile(rb"(?::[^\r\n]*(?:\r\n|\n|\r))+(?:\r\n|\n|\r)")
 
 
 class EventScanner:
@@ -25,12 +27,17 @@
         return self._rest
 
     def feed(self, data: bytes) -> bytes:
-        """Adds received bytes; returns the bytes of all complete events."""
+        """Adds received bytes; returns the bytes of all complete events.
+
+        The result includes the comments between them.
+        """
         data = self._rest + data
         end = 0
         for match in _BOUNDARY.finditer(data):
             event = data[end : match.end()]
             end = match.end()
+            if _COMMENT.fullmatch(event):
+                continue
             self.events += 1
             id_match = _ID.search(event)
             if id_match:
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -31,6 +31,7 @@
         http.HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
+_MAX_DETAIL_CHARS = 200
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -118,12 +119,12 @@
             )
         except (
             aiohttp.ClientError,
+            # Raised if the connection ends after an informational answer.
+            aiohttp.EofStream,
             OSError,
             asyncio.IncompleteReadError,
         ) as exc:
-            return Failure(
-                run_state.RunState.UNKNOWN, f"{type(exc).__name__}: {exc}"
-            )
+            return Failure(run_state.RunState.UNKNOWN, describe(exc))
         failure = _find_failure(call, resp)
         if failure is None:
             return resp
@@ -169,6 +170,17 @@
     return None
 
 
+def describe(exc: BaseException) -> str:
+    """Returns a short description without bytes that a server sent.
+
+    Those bytes may belong to the answer of another caller.
+    """
+    name = type(exc).__name__
+    if isinstance(exc, aiohttp.ClientResponseError):
+        return f"{name}: malformed answer"
+    return f"{name}: {exc}"[:_MAX_DETAIL_CHARS]
+
+
 async def _discard(resp: aiohttp.ClientResponse, *, reusable: bool) -> None:
     if reusable:
         try:
--- a/hibiscuspass/gateway/upstream_protocol.py
+++ b/hibiscuspass/gateway/upstream_protocol.py
@@ -1,6 +1,8 @@
 """aiohttp client protocol that reports a connection reset as an error."""
 
+import asyncio
 import functools
+from typing import Any
 
 import aiohttp
 from aiohttp import client_proto
@@ -8,14 +10,46 @@
 
 from hibiscuspass.backends import sockets
 
+# Bytes beside the body that one answer may have: heads, chunk headers and
+# trailers. The library bounds single lines and their number, but neither
+# informational heads nor chunk extensions.
+_MAX_OVERHEAD_BYTES = 64 * 1024
+# Bytes of framing per byte of the body. Chunks of one byte take six bytes.
+_MAX_FRAMING_PER_BYTE = 16
+
 
 class UpstreamProtocol(client_proto.ResponseHandler):
-    """Raises an error for a body that ends with a connection reset.
+    """Ends connections whose bytes are not a proper answer.
 
     By default, aiohttp treats a body without a length as complete however the
-    connection ends.
+    connection ends, and reads heads and framing without end.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._received_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """See base class; called at the start of each answer."""
+        self._received_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """See base class."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        payload = self._payload
+        body_bytes = payload.total_bytes if payload is not None else 0
+        overhead = self._received_bytes - body_bytes
+        if overhead > (
+            _MAX_OVERHEAD_BYTES + _MAX_FRAMING_PER_BYTE * body_bytes
+        ):
+            exc = aiohttp.ClientPayloadError("answer without end")
+            if payload is not None and not payload.is_eof():
+                payload.set_exception(exc)
+            self.set_exception(exc)
+            self.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """See base class."""
         payload = self._payload
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -185,3 +185,26 @@
     await upstream.close()
     assert isinstance(outcome, upstream_lib.Failure)
     assert outcome.run is _NO
+
+
+async def test_connection_that_ends_after_an_informational_answer() -> None:
+    """An end after a status 100 must not be taken for an answer of any kind."""
+    upstream = upstream_lib.Upstream()
+    async with scripted_backend.running() as backend:
+        backend.scripts.append(b"HTTP/1.1 100 Continue\r\n\r\n")
+        backend.close = True
+        outcome = await _send(backend, upstream)
+    await upstream.close()
+    assert isinstance(outcome, upstream_lib.Failure)
+    assert outcome.run is _UNKNOWN
+
+
+async def test_failure_texts_contain_no_bytes_of_a_server() -> None:
+    """Bytes that are no answer may belong to the answer of another caller."""
+    upstream = upstream_lib.Upstream()
+    async with scripted_backend.running() as backend:
+        backend.scripts.append(b"the text of somebody else\r\n\r\n")
+        outcome = await _send(backend, upstream)
+    await upstream.close()
+    assert isinstance(outcome, upstream_lib.Failure)
+    assert "somebody" not in outcome.detail
