Give up answers that make no progress

Now an answer without a whole event for three times its target, and longer than expected and than the stream's own pauses, is given up if the request may run again, an attempt and the retry budget are left, and another server is there. Others wait on. Comments and single bytes are no progress.

Plain bodies of more than 1 MiB are relayed as they arrive, and events of more than 1 MiB are no events, so that bytes without end need little memory. Events that arrive together with the end of a connection are relayed before it counts as broken; they were dropped, and the stream could not be resumed. The test of a resumed stream lets whichever server is asked first break off; it depended on which of two tasks ran first.

--- a/hibiscuspass/core/forwarding/repeat_budget.py
+++ b/hibiscuspass/core/forwarding/repeat_budget.py
@@ -56,15 +56,24 @@
         Returns:
           Whether the request may be repeated.
         """
+        if not self.can_repeat(routers, now_s):
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def can_repeat(self, routers: int, now_s: float) -> bool:
+        """Returns whether the budget allows another repeat.
+
+        Args:
+          routers: Number of routers that share the slack.
+          now_s: Current time in seconds.
+        """
         self._expire(now_s)
         limit = self.cfg.safety * (
             self.cfg.ratio * len(self._requests)
             + self.cfg.slack / max(1, routers)
         )
-        if len(self._repeats) + 1 > limit:
-            return False
-        self._repeats.append(now_s)
-        return True
+        return len(self._repeats) + 1 <= limit
 
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._repeats):
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -1,6 +1,8 @@
 """Chooses backend servers for a request and sends it until one answers."""
 
+import asyncio
 from collections.abc import Callable
+import math
 import random
 import time
 
@@ -16,6 +18,7 @@
 from hibiscuspass.core.forwarding import backend_selector as selector_lib
 from hibiscuspass.core.forwarding import backend_selectors as selectors_lib
 from hibiscuspass.core.forwarding import backend_set
+from hibiscuspass.core.forwarding import progress
 from hibiscuspass.core.forwarding import repeat_budget
 from hibiscuspass.core.forwarding import retry_on_failure
 from hibiscuspass.core.forwarding import route as route_lib
@@ -314,8 +317,8 @@
         )
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
-            outcome = await self._upstream.send(
-                call, backend, last_event_id=last_event_id
+            outcome = await self._send_while_progressing(
+                call, service, choice, attempts, last_event_id
             )
         finally:
             if not isinstance(outcome, aiohttp.ClientResponse):
@@ -329,6 +332,56 @@
         self._on_failure(call, backend, attempts, outcome)
         return outcome
 
+    async def _send_while_progressing(
+        self,
+        call: call_lib.Call,
+        service: route_lib.Service,
+        choice: selector_lib.Choice,
+        attempts: attempts_lib.Attempts,
+        last_event_id: str | None,
+    ) -> aiohttp.ClientResponse | upstream_lib.Failure:
+        """Sends a request; gives it up if no answer begins for too long."""
+        watch = progress.ProgressWatch(
+            call.route, choice.expected_s, time.monotonic()
+        )
+        send = asyncio.create_task(
+            self._upstream.send(
+                call, choice.backend, last_event_id=last_event_id
+            )
+        )
+        try:
+            while True:
+                remaining_s = watch.deadline_s - time.monotonic()
+                await asyncio.wait(
+                    {send},
+                    timeout=None if math.isinf(remaining_s) else remaining_s,
+                )
+                if send.done():
+                    return send.result()
+                if self.can_ask_another(call, service, attempts):
+                    return upstream_lib.Failure(
+                        run_state.RunState.UNKNOWN, "no answer in time"
+                    )
+                watch.extend(time.monotonic())
+        finally:
+            send.cancel()
+
+    def can_ask_another(
+        self,
+        call: call_lib.Call,
+        service: route_lib.Service,
+        attempts: attempts_lib.Attempts,
+    ) -> bool:
+        """Returns whether the request may be sent to one more server now."""
+        return (
+            call.route.may_repeat
+            and attempts.arrivals < attempts.max_attempts
+            and len(self._backends.ready(service.name)) > len(attempts.tried)
+            and self._repeats.of(service.name).can_repeat(
+                self._fleet.known_size, time.monotonic()
+            )
+        )
+
     def _on_failure(
         self,
         call: call_lib.Call,
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core import run_state
 from hibiscuspass.core.forwarding import attempts as attempts_lib
+from hibiscuspass.core.forwarding import progress
 from hibiscuspass.core.prepaid import workspace_usage as usage_lib
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import dispatch as dispatch_lib
@@ -108,7 +109,7 @@
             )
             if isinstance(resp, refusal.Refusal):
                 return resp
-            failure = await self._relay_answer(relay, resp, attempts)
+            failure = await self._relay_answer(call, relay, resp, attempts)
             if failure is None:
                 return None
             attempts.last_failure = failure
@@ -121,6 +122,7 @@
 
     async def _relay_answer(
         self,
+        call: call_lib.Call,
         relay: relay_lib.Relay,
         answer: dispatch_lib.Answer,
         attempts: attempts_lib.Attempts,
@@ -130,6 +132,12 @@
             failure = await relay.copy(
                 answer.resp,
                 lambda: self._dispatcher.on_first_event(answer),
+                progress.ProgressWatch(
+                    call.route, answer.choice.expected_s, answer.sent_s
+                ),
+                lambda: self._dispatcher.can_ask_another(
+                    call, answer.service, attempts
+                ),
             )
         except BaseException:
             # The caller left or the deadline passed, which is not a failure of
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -2,19 +2,31 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import time
 
 import aiohttp
 from aiohttp import web
 
 from hibiscuspass.core.forwarding import event_scanner
+from hibiscuspass.core.forwarding import progress
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import request_reader
+from hibiscuspass.gateway import upstream
 
 # Headers that aiohttp writes itself.
 _LIBRARY_HEADERS = frozenset({"date", "server", "content-length"})
 _SUCCESS_STATUSES = range(200, 300)
+# A longer answer of a plain service is relayed as it arrives, so that it isn't
+# kept in memory as a whole.
+_MAX_BUFFERED_BYTES = 1 << 20
+# A longer event is taken for bytes that are no answer.
+_MAX_EVENT_BYTES = 1 << 20
+
+
+class NoProgressError(Exception):
+    """An answer made no progress for too long, and another server is asked."""
 
 
 class Relay:
@@ -84,13 +96,19 @@
         return req.input_tokens + output
 
     async def copy(
-        self, resp: aiohttp.ClientResponse, on_first_event: Callable[[], None]
+        self,
+        resp: aiohttp.ClientResponse,
+        on_first_event: Callable[[], None],
+        watch: progress.ProgressWatch,
+        may_give_up: Callable[[], bool],
     ) -> str | None:
         """Copies one answer to the caller.
 
         Args:
           resp: Answer whose head was read.
           on_first_event: Called at the first complete event of this answer.
+          watch: Follows the progress of this answer.
+          may_give_up: Returns whether another server can be asked now.
 
         Returns:
           Why the answer broke off; None if it is complete.
@@ -99,18 +117,23 @@
           ConnectionResetError: The caller closed its connection.
         """
         self._on_first_event = on_first_event
+        reader = _Reader(resp, watch, may_give_up)
         is_complete = False
         try:
             if self._is_stream(resp):
-                is_complete = await self._copy_stream(resp)
+                is_complete = await self._copy_stream(resp, reader, watch)
             else:
-                is_complete = await self._copy_body(resp)
-        except (aiohttp.ClientError, asyncio.IncompleteReadError) as exc:
-            return f"{type(exc).__name__}: {exc}"
+                is_complete = await self._copy_body(resp, reader)
+        except (
+            aiohttp.ClientError,
+            asyncio.IncompleteReadError,
+            NoProgressError,
+        ) as exc:
+            return upstream.describe(exc)
         except ConnectionResetError:
             raise
         except OSError as exc:
-            return f"{type(exc).__name__}: {exc}"
+            return upstream.describe(exc)
         finally:
             if self._scanner.incomplete_event:
                 self._partial_events += 1
@@ -130,27 +153,54 @@
             and resp.status in _SUCCESS_STATUSES
         )
 
-    async def _copy_body(self, resp: aiohttp.ClientResponse) -> bool:
-        body = await resp.read()
+    async def _copy_body(
+        self, resp: aiohttp.ClientResponse, reader: "_Reader"
+    ) -> bool:
+        body = bytearray()
+        while chunk := await reader.read():
+            body += chunk
+            if len(body) > _MAX_BUFFERED_BYTES:
+                await self._copy_long_body(resp, reader, bytes(body))
+                return True
         response = web.Response(status=resp.status, reason=resp.reason)
         _copy_headers(resp, response)
-        response.body = body
+        response.body = bytes(body)
         self.response = response
         self.status = resp.status
         return True
 
-    async def _copy_stream(self, resp: aiohttp.ClientResponse) -> bool:
+    async def _copy_long_body(
+        self, resp: aiohttp.ClientResponse, reader: "_Reader", start: bytes
+    ) -> None:
+        await self._start(resp)
+        response = self.response
+        assert response is not None
+        chunk = start
+        while chunk:
+            await _write(response, chunk)
+            chunk = await reader.read()
+        await _write(response, None)
+
+    async def _copy_stream(
+        self,
+        resp: aiohttp.ClientResponse,
+        reader: "_Reader",
+        watch: progress.ProgressWatch,
+    ) -> bool:
         if self.response is None:
             await self._start(resp)
         response = self.response
         assert response is not None
-        while True:
-            chunk = await resp.content.readany()
-            if not chunk:
-                break
+        while chunk := await reader.read():
+            events_before = self._scanner.events
             whole_events = self._scanner.feed(chunk)
+            if len(self._scanner.incomplete_event) > _MAX_EVENT_BYTES:
+                raise aiohttp.ClientPayloadError("event too long")
+            if self._scanner.events > events_before:
+                now_s = time.monotonic()
+                watch.on_event(now_s)
+                self._on_event(now_s)
             if whole_events:
-                self._on_event(time.monotonic())
                 await _write(response, whole_events)
         if self._scanner.incomplete_event:
             # The last event may lack the empty line at its end.
@@ -185,6 +235,53 @@
             raise ConnectionResetError(str(exc)) from exc
 
 
+class _Reader:
+    """Reads the body of an answer while it makes progress."""
+
+    def __init__(
+        self,
+        resp: aiohttp.ClientResponse,
+        watch: progress.ProgressWatch,
+        may_give_up: Callable[[], bool],
+    ) -> None:
+        self._resp = resp
+        self._watch = watch
+        self._may_give_up = may_give_up
+        self._failure: aiohttp.ClientError | None = None
+
+    async def read(self) -> bytes:
+        """Returns the next bytes; empty at the end of the body.
+
+        Raises:
+          NoProgressError: There was no progress for too long.
+          aiohttp.ClientError: The answer broke off.
+        """
+        if self._failure:
+            raise self._failure
+        loop = asyncio.get_running_loop()
+        while True:
+            remaining_s = self._watch.deadline_s - time.monotonic()
+            try:
+                async with asyncio.timeout_at(
+                    None
+                    if math.isinf(remaining_s)
+                    else loop.time() + remaining_s
+                ):
+                    return await self._resp.content.readany()
+            except aiohttp.ClientError as exc:
+                # The library raises the error before it returns the bytes that
+                # arrived earlier.
+                received = self._resp.content._read_nowait(-1)
+                if not received:
+                    raise
+                self._failure = exc
+                return received
+            except TimeoutError:
+                if self._may_give_up():
+                    raise NoProgressError("no progress") from None
+                self._watch.extend(time.monotonic())
+
+
 async def _write(response: web.StreamResponse, data: bytes | None) -> None:
     """Writes to the caller; None ends the response."""
     try:
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -47,15 +47,21 @@
     }
 
 
-def config(prepaid: int, version: int = 1) -> bytes:
-    """Returns a configuration with a route of each kind."""
+def config(prepaid: int, version: int = 1, **route: Any) -> bytes:
+    """Returns a configuration with a route of each kind.
+
+    Args:
+      prepaid: Prepaid amount of the workspace in tokens.
+      version: Version of the configuration.
+      **route: More fields of all routes.
+    """
     data = {
         "version": version,
         "routes": [
-            _route("draft", "streaming", "llm"),
-            _route("ask", "streaming", "llm", stream_resume=True),
-            _route("order", "non_idempotent", "app"),
-            _route("status", "idempotent", "app"),
+            _route("draft", "streaming", "llm", **route),
+            _route("ask", "streaming", "llm", stream_resume=True, **route),
+            _route("order", "non_idempotent", "app", **route),
+            _route("status", "idempotent", "app", **route),
         ],
         "services": [
             {
@@ -115,6 +121,14 @@
             },
         )
 
+    def move_backend(self, number: int, address: str) -> None:
+        """Lists a backend server under another address."""
+        for service in ("llm", "app"):
+            key = f"servers/{service}-{self.cfg.process.name}-{number}"
+            entry = json.loads(self.store.items[key].value)
+            entry["address"] = address
+            self.store.apply({}, {key: json.dumps(entry).encode()})
+
     async def crash(self) -> None:
         """Ends the gateway without returning its tokens."""
         gateway = self.gateway
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,186 @@
+"""Tests of backend servers that send bytes without end that are no answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import resource
+import time
+
+import aiohttp
+import pytest
+
+from hibiscuspass.gateway import relay
+from hibiscuspass.gateway import upstream_protocol
+from tests import gateway_system
+from tests import scripted_backend
+
+_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_EVENT = b"id: 0\ndata: x\n\n"
+_FIRST_CHUNK = b"%x\r\n%s\r\n" % (len(_EVENT), _EVENT)
+# Bytes that a server is read before its connection is closed: those that the
+# gateway accepts, and the buffers of both sockets.
+_MAX_READ_BYTES = 24 << 20
+_DEADLINE_S = 1.5
+
+# First bytes of an answer, and those that follow without end.
+_HEADS = {
+    "status line": (b"HTTP/1.1 200 ", b"O" * 4096),
+    "header line": (_HEAD + b"X-Long: ", b"a" * 4096),
+    "header lines": (_HEAD, b"X-More: 1\r\n" * 256),
+    "folded lines": (_HEAD + b"X-Fold: 1\r\n", b" more\r\n" * 512),
+    "informational heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 128),
+    "no head": (b"", b"\x00\xff" * 2048),
+}
+_STREAMS = {
+    "chunk extension": (_CHUNKED + _FIRST_CHUNK + b"4;", b"e" * 4096),
+    "trailers": (_CHUNKED + _FIRST_CHUNK + b"0\r\n", b"X-T: 1\r\n" * 512),
+    "event": (_CHUNKED + _FIRST_CHUNK, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
+    "comments": (_CHUNKED + _FIRST_CHUNK, b"3\r\n: \n\r\n" * 512),
+}
+
+
+class _EndlessBackend:
+    """Sends an answer without end until its connection is closed."""
+
+    def __init__(self, start: bytes, more: bytes) -> None:
+        self.sent_bytes = 0
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self._start = start
+        self._more = more
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        self.connections += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._start)
+            # The start arrives by itself.
+            await asyncio.sleep(0.05)
+            while True:
+                writer.write(self._more)
+                self.sent_bytes += len(self._more)
+                await writer.drain()
+                # The test shares one event loop with the gateway.
+                await asyncio.sleep(0)
+        writer.close()
+        self.closed.set()
+
+
+@contextlib.asynccontextmanager
+async def _endless(
+    system: gateway_system.System, start: bytes, more: bytes
+) -> AsyncIterator[_EndlessBackend]:
+    """Replaces the backend server of a system by an endless one."""
+    backend = _EndlessBackend(start, more)
+    server = await asyncio.start_server(backend.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    system.move_backend(0, f"{host}:{port}")
+    await asyncio.sleep(0.1)
+    try:
+        yield backend
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("part", _HEADS)
+async def test_endless_head_ends_and_is_no_success(part: str) -> None:
+    """The connection is closed early, and the caller gets a true answer."""
+    async with gateway_system.running() as system:
+        async with _endless(system, *_HEADS[part]) as backend:
+            start_s = time.monotonic()
+            resp = await system.send("/order/x", method="POST")
+            await asyncio.wait_for(backend.closed.wait(), 2.0)
+        assert resp.status == 502, "the server may have run the request"
+        assert time.monotonic() - start_s < _DEADLINE_S
+        assert backend.connections == 1
+        assert backend.sent_bytes < _MAX_READ_BYTES
+
+
+@pytest.mark.parametrize("part", _STREAMS)
+async def test_endless_stream_ends_and_is_not_complete(part: str) -> None:
+    """Events that arrived are relayed, and the response ends incomplete."""
+    async with gateway_system.running() as system:
+        async with _endless(system, *_STREAMS[part]) as backend:
+            start_s = time.monotonic()
+            resp = await system.send("/draft/x")
+            assert resp.status == 200
+            assert await resp.content.readexactly(len(_EVENT)) == _EVENT
+            with pytest.raises(aiohttp.ClientError):
+                await resp.read()
+            await asyncio.wait_for(backend.closed.wait(), 2.0)
+        assert time.monotonic() - start_s < _DEADLINE_S + 0.5
+        used = system.gateway.accounts.used()["press"]
+        assert used <= 100 + 2 * 5, "comments are no events"
+
+
+async def test_endless_plain_body_needs_little_memory() -> None:
+    """A body without a length is not kept in memory until its end."""
+    more = b"x" * 65536
+    async with (
+        gateway_system.running() as system,
+        _endless(system, _HEAD + b"\r\n", more) as backend,
+    ):
+        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        resp = await system.send("/status/x")
+        # The caller does not read, so the server has to wait.
+        await asyncio.sleep(_DEADLINE_S + 0.3)
+        after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        with pytest.raises(aiohttp.ClientError):
+            await resp.read()
+        await asyncio.wait_for(backend.closed.wait(), 2.0)
+    assert (after_kb - before_kb) * 1024 < 4 * _MAX_READ_BYTES
+
+
+async def test_many_endless_answers_leave_the_loop_responsive() -> None:
+    """Other requests are served while servers send bytes without end."""
+    async with gateway_system.running() as system:
+        async with _endless(system, *_HEADS["informational heads"]):
+            requests = [
+                asyncio.create_task(
+                    system.send("/order/x", method="POST", tokens="0,0")
+                )
+                for _ in range(100)
+            ]
+            await asyncio.sleep(0.05)
+            start_s = time.monotonic()
+            async with system.session.get(system.ready_url) as ready:
+                assert ready.status == 200
+            assert time.monotonic() - start_s < 1.0
+            responses = await asyncio.gather(*requests)
+        # The servers share the event loop, so that some answers are late.
+        assert {r.status for r in responses} <= {502, 504}
+
+
+def test_overhead_of_small_chunks_is_accepted() -> None:
+    """Chunks of one byte are poor but sound framing."""
+    chunk = b"1\r\nx\r\n"
+    assert len(chunk) - 1 < upstream_protocol._MAX_FRAMING_PER_BYTE
+
+
+async def test_bytes_after_a_complete_answer_reach_nobody() -> None:
+    """Neither an answer nor an error text contains bytes of another answer."""
+    async with gateway_system.running() as system:
+        script = scripted_backend.answer(body=b"ok" + b"x" * 200_000)
+        system.backends[0].scripts += [script, scripted_backend.answer()]
+        for _ in range(2):
+            resp = await system.send("/status/x")
+            text = await resp.text()
+            assert text == "ok" or resp.status in (502, 503)
+            assert "xxx" not in text
+        assert len(system.request_heads) <= 2
+
+
+async def test_long_plain_body_is_relayed_whole() -> None:
+    """A long answer is not kept in memory, but it is complete."""
+    body = b"y" * (relay._MAX_BUFFERED_BYTES + 70_000)
+    async with gateway_system.running() as system:
+        headers = ("X-Server-Stamp: s", f"Content-Length: {len(body)}")
+        system.backends[0].scripts.append(
+            scripted_backend.answer(headers=headers, body=body)
+        )
+        resp = await system.send("/status/x")
+        assert await resp.read() == body
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -8,7 +8,7 @@
 from tests import gateway_system
 from tests import scripted_backend
 
-_CHUNKED = ("X-Server-Stamp: s", "Transfer-Encoding: chunked")
+CHUNKED = ("X-Server-Stamp: s", "Transfer-Encoding: chunked")
 
 
 def _events(*numbers: int, end: bool = True) -> bytes:
@@ -17,13 +17,13 @@
     return body + (b"0\r\n\r\n" if end else b"")
 
 
-def _stream(*numbers: int, end: bool = True) -> bytes:
+def stream(*numbers: int, end: bool = True) -> bytes:
     return scripted_backend.answer(
-        headers=_CHUNKED, body=_events(*numbers, end=end)
+        headers=CHUNKED, body=_events(*numbers, end=end)
     )
 
 
-def _text(*numbers: int) -> str:
+def text(*numbers: int) -> str:
     return "".join(f"id: {n}\ndata: part {n}\n\n" for n in numbers)
 
 
@@ -33,10 +33,10 @@
     The charge is the input tokens plus the tokens of all events.
     """
     async with gateway_system.running() as system:
-        system.backends[0].scripts.append(_stream(0, 1, 2))
+        system.backends[0].scripts.append(stream(0, 1, 2))
         resp = await system.send("/draft/x")
         assert resp.status == 200
-        assert await resp.text() == _text(0, 1, 2)
+        assert await resp.text() == text(0, 1, 2)
         await asyncio.sleep(0.05)
         assert system.gateway.accounts.used() == {"press": 100 + 3 * 5}
 
@@ -178,13 +178,13 @@
 async def test_resumable_stream_continues_at_another_server() -> None:
     """A stream resumed after a lost server must not miss or repeat an event."""
     async with gateway_system.running(backends=2) as system:
+        # Whichever server is asked first breaks off.
+        scripts = [stream(0, 1, end=False), stream(2, 3)]
         for backend in system.backends:
             backend.close = True
-            backend.scripts += [_stream(0, 1, end=False)]
+            backend.scripts = scripts
         resp = await system.send("/ask/x")
-        for backend in system.backends:
-            backend.scripts[:] = [_stream(2, 3)]
-        assert await resp.text() == _text(0, 1, 2, 3)
+        assert await resp.text() == text(0, 1, 2, 3)
     assert len(system.request_heads) == 2
     assert any(b"Last-Event-ID: 1\r\n" in head for head in system.request_heads)
 
@@ -197,7 +197,7 @@
     async with gateway_system.running(backends=2) as system:
         for backend in system.backends:
             backend.close = True
-            backend.scripts.append(_stream(0, 1, end=False))
+            backend.scripts.append(stream(0, 1, end=False))
         resp = await system.send("/draft/x")
         with pytest.raises(aiohttp.ClientPayloadError):
             await resp.text()
@@ -208,21 +208,21 @@
     """A planned stop must not cut requests in progress."""
     async with gateway_system.running() as system:
         backend = system.backends[0]
-        backend.scripts.append(_stream(0, end=False))
+        backend.scripts.append(stream(0, end=False))
         resp = await system.send("/draft/x")
         stopping = asyncio.create_task(system.gateway.stop())
         await asyncio.sleep(0.1)
         ready = await system.session.get(system.ready_url)
         assert ready.status == 503
         await backend.send_more(_events(1))
-        assert await resp.text() == _text(0, 1)
+        assert await resp.text() == text(0, 1)
         await stopping
 
 
 async def test_stopped_router_leaves_no_tokens_drawn() -> None:
     """Tokens that a stopped router keeps could not be used by other routers."""
     async with gateway_system.running() as system:
-        system.backends[0].scripts.append(_stream(0, 1))
+        system.backends[0].scripts.append(stream(0, 1))
         resp = await system.send("/draft/x")
         await resp.read()
         await system.wait_until_drawn()
