--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	bash examples/demo.sh
 
 test: setup lint
-	$(BIN)/python -m pytest -n $(TEST_WORKERS)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/hibiscuspass/gateway/fleet.py
+++ b/hibiscuspass/gateway/fleet.py
@@ -112,8 +112,12 @@
 
     def on_answer(self, address: str, process: incarnation.Incarnation) -> None:
         """Records an answer of a peer."""
+        peer = self._peers.get(address)
+        was_suspected = peer is not None and peer.suspect_until_s > 0
         if self._peers.add(address, process, time.monotonic()):
             self._on_new_peer(process, address)
+        elif was_suspected:
+            _log.info("peer back", peer=str(process), address=address)
 
     def on_failure(self, address: str) -> None:
         """Records that a peer did not answer."""
