--- a/tests/test_draw_policy.py
+++ b/tests/test_draw_policy.py
@@ -179,3 +179,33 @@
     # After the limits expired, all drawn tokens are available.
     assert accounts.reserve("press", 1, 9.0) == 0
     assert accounts.available("press") == accounts.remaining("press")
+
+
+def test_assumed_rate_lasts_until_the_first_request() -> None:
+    """Routers start some time before the first requests of a fleet.
+
+    The assumed rate had decayed by then, and an early outage of the store found
+    all routers with few tokens.
+    """
+    rate = draw_policy.UsageRate(10.0, 0.0, 500.0)
+    assert rate.per_s(16.0) == 500.0
+    rate.add(0, 16.0)
+    assert rate.per_s(26.0) < 250.0
+
+
+def test_lenders_hold_tokens_for_whole_requests() -> None:
+    """A holder of a small workspace must be able to lend for a request."""
+    state = draw_policy.WorkspaceState(
+        prepaid=1_000_000,
+        drawn_by_all=0,
+        available=0,
+        rate_per_s=100.0,
+        typical_tokens=9000,
+        routers=5,
+    )
+    cfg = draw_policy.DrawConfig()
+    lender = attrs.evolve(state, has_borrowers=True)
+    assert draw_policy.target_tokens(state, cfg) < 2 * 9000
+    assert draw_policy.target_tokens(lender, cfg) >= 3 * 9000
+    scarce = attrs.evolve(lender, drawn_by_all=990_000)
+    assert draw_policy.target_tokens(scarce, cfg) <= 0.3 * 10_000
--- /dev/null
+++ b/tests/test_loans.py
@@ -0,0 +1,156 @@
+"""Tests of routers that borrow the tokens of a large fleet's holders."""
+
+import attrs
+import pytest
+
+from hibiscuspass.core import incarnation
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import holders as holders_lib
+from hibiscuspass.core.prepaid import messages
+from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
+from hibiscuspass.gateway import loans as loans_lib
+
+_NAMES = [f"router-{n}" for n in range(62)]
+_WORKSPACE = "press"
+_HOLDERS = holders_lib.holders(_WORKSPACE, _NAMES)
+_OWN = next(n for n in _NAMES if n not in _HOLDERS)
+_LOST = refusal.Refusal(reason_lib.Reason.TIMEOUT, "no reply")
+
+
+@attrs.define
+class _Peers:
+    """Stands for the transport, the fleet and the metrics.
+
+    Attributes:
+      available: Tokens that each holder can lend.
+      lost: Holders that don't answer.
+      cut_off: Holders that can't draw from the store.
+      asked: Holders in the order in which they were asked.
+    """
+
+    available: dict[str, int]
+    lost: frozenset[str] = frozenset()
+    cut_off: frozenset[str] = frozenset()
+    asked: list[str] = attrs.field(factory=list)
+    failures: list[str] = attrs.field(factory=list)
+
+    def addresses_by_name(self) -> dict[str, str]:
+        return {name: name for name in _NAMES}
+
+    async def request(
+        self, address: str, msg: messages.Borrow, *, timeout_s: float
+    ) -> messages.Lent | refusal.Refusal:
+        self.asked.append(address)
+        if address in self.lost:
+            return _LOST
+        amount = min(msg.least, self.available.get(address, 0))
+        return messages.Lent(
+            totals={msg.workspace: amount} if amount else {},
+            available={msg.workspace: 0},
+            lender=f"{address}/1",
+            borrower=f"{_OWN}/1",
+            address=address,
+            drawn={msg.workspace: 5000},
+            revisions={msg.workspace: 7},
+            store_asked=address not in self.cut_off,
+        )
+
+    def on_failure(self, address: str) -> None:
+        self.failures.append(address)
+
+    def on_answer(
+        self, address: str, process: incarnation.Incarnation
+    ) -> None: ...
+
+    def on_borrowed(self, tokens: int) -> None: ...
+
+
+def _accounts(name: str = _OWN) -> accounts_lib.PrepaidAccounts:
+    accounts = accounts_lib.PrepaidAccounts(
+        incarnation.Incarnation(name, "1"), "h:1", draw_policy.DrawConfig()
+    )
+    accounts.set_prepaid_amounts({_WORKSPACE: 1_000_000})
+    accounts.routers = len(_NAMES)
+    accounts.holders.set_names(_NAMES)
+    return accounts
+
+
+def _loans(
+    peers: _Peers,
+) -> tuple[loans_lib.Loans, accounts_lib.PrepaidAccounts]:
+    accounts = _accounts()
+    return loans_lib.Loans(accounts, peers, peers, peers), accounts
+
+
+async def _borrow(loans: loans_lib.Loans) -> loans_lib.Borrowing:
+    return await loans.borrow(_WORKSPACE, 900, priority=1, single_asks=2)
+
+
+async def test_one_holder_is_asked_if_it_lends_enough() -> None:
+    """Asking several at once would leave tokens at a router without use."""
+    peers = _Peers(dict.fromkeys(_HOLDERS, 10_000))
+    loans, accounts = _loans(peers)
+    assert await _borrow(loans) == loans_lib.Borrowing(True, True)
+    assert len(peers.asked) == 1
+    assert accounts.available(_WORKSPACE) == 900
+
+
+async def test_small_amounts_of_several_holders_are_added() -> None:
+    """A request larger than what one holder has left must be served."""
+    peers = _Peers(dict.fromkeys(_HOLDERS, 450))
+    loans, accounts = _loans(peers)
+    await _borrow(loans)
+    assert len(peers.asked) == 2
+    assert accounts.available(_WORKSPACE) == 900
+
+
+async def test_totals_arrive_with_loans() -> None:
+    """A router that borrows hears no announcements of totals."""
+    peers = _Peers(dict.fromkeys(_HOLDERS, 10_000))
+    loans, accounts = _loans(peers)
+    await _borrow(loans)
+    assert accounts.undrawn(_WORKSPACE) == 995_000
+
+
+@pytest.mark.parametrize(
+    ("lost", "cut_off", "expected"),
+    [
+        ([], [], loans_lib.Borrowing(True, True)),
+        (_HOLDERS[:1], [], loans_lib.Borrowing(False, True)),
+        ([], _HOLDERS[:1], loans_lib.Borrowing(True, False)),
+        (_HOLDERS, [], loans_lib.Borrowing(False, False)),
+    ],
+    ids=["used up", "one lost", "one cut off", "all lost"],
+)
+async def test_used_up_amounts_are_told_from_unreachable_ones(
+    lost: list[str], cut_off: list[str], expected: loans_lib.Borrowing
+) -> None:
+    """A caller may be told that its amount is used up only if it is."""
+    peers = _Peers({}, frozenset(lost), frozenset(cut_off))
+    loans, _ = _loans(peers)
+    assert await _borrow(loans) == expected
+    assert sorted(peers.asked) == sorted(_HOLDERS)
+    assert sorted(peers.failures) == sorted(lost)
+
+
+def test_routers_that_borrow_write_no_limits() -> None:
+    """Limits of hundreds of routers were most writes of a large fleet."""
+    for name, is_due in ((_OWN, False), (_HOLDERS[0], True)):
+        accounts = _accounts(name)
+        txn = accounts.ledger.plan(
+            {_WORKSPACE: 5000}, {}, {}, accounts.limits(0.0, 0)
+        )
+        accounts.ledger.on_committed(txn, 9)
+        accounts.sync_drawn(0.0)
+        assert accounts.is_write_due(3.0) is is_due
+
+
+def test_lenders_keep_the_reserve_of_urgent_requests() -> None:
+    """A borrower with a reserve of its own would ask for too much."""
+    for name, keeps in ((_OWN, False), (_HOLDERS[0], True)):
+        accounts = _accounts(name)
+        accounts.ledger.on_totals({_WORKSPACE: 999_000}, 5)
+        accounts._add_usage(_WORKSPACE, 0, 50_000, 0.0)
+        assert (accounts.reserve(_WORKSPACE, 1, 0.0) > 0) is keeps
