Close an answer that crosses the cancellation of its send

Cause: the head of an answer is awaited by a task of its own since answers are given up without progress. If the answer arrived in the step in which the caller left, nothing closed its connection, and the server went on. The test fails without the callback.

Texts of the library's parser errors are no longer passed on, since they quote bytes of the server. A fleet counts as large by its live routers, so that replaced VMs of a small one don't change how it places requests. The lease of a router's record lasts 15 s, longer than the outages that routers bridge.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -1,8 +1,6 @@
 """Chooses backend servers for a request and sends it until one answers."""
 
-import asyncio
 from collections.abc import Callable
-import math
 import random
 import time
 
@@ -29,6 +27,7 @@
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import load_monitors
 from hibiscuspass.gateway import upstream as upstream_lib
+from hibiscuspass.gateway import watched_send
 
 _log = structlog.get_logger(__name__)
 
@@ -317,8 +316,10 @@
         )
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
-            outcome = await self._send_while_progressing(
-                call, service, choice, attempts, last_event_id
+            outcome = await watched_send.send(
+                self._upstream.send(call, backend, last_event_id=last_event_id),
+                progress.ProgressWatch(call.route, choice.expected_s, sent_s),
+                lambda: self.can_ask_another(call, service, attempts),
             )
         finally:
             if not isinstance(outcome, aiohttp.ClientResponse):
@@ -332,40 +333,6 @@
         self._on_failure(call, backend, attempts, outcome)
         return outcome
 
-    async def _send_while_progressing(
-        self,
-        call: call_lib.Call,
-        service: route_lib.Service,
-        choice: selector_lib.Choice,
-        attempts: attempts_lib.Attempts,
-        last_event_id: str | None,
-    ) -> aiohttp.ClientResponse | upstream_lib.Failure:
-        """Sends a request; gives it up if no answer begins for too long."""
-        watch = progress.ProgressWatch(
-            call.route, choice.expected_s, time.monotonic()
-        )
-        send = asyncio.create_task(
-            self._upstream.send(
-                call, choice.backend, last_event_id=last_event_id
-            )
-        )
-        try:
-            while True:
-                remaining_s = watch.deadline_s - time.monotonic()
-                await asyncio.wait(
-                    {send},
-                    timeout=None if math.isinf(remaining_s) else remaining_s,
-                )
-                if send.done():
-                    return send.result()
-                if self.can_ask_another(call, service, attempts):
-                    return upstream_lib.Failure(
-                        run_state.RunState.UNKNOWN, "no answer in time"
-                    )
-                watch.extend(time.monotonic())
-        finally:
-            send.cancel()
-
     def can_ask_another(
         self,
         call: call_lib.Call,
--- a/hibiscuspass/gateway/load_monitors.py
+++ b/hibiscuspass/gateway/load_monitors.py
@@ -58,7 +58,7 @@
     @property
     def is_needed(self) -> bool:
         """Whether the fleet is too large for announcements to all routers."""
-        return self._fleet.known_size > load_quotes.MAX_ANNOUNCING_ROUTERS
+        return self._fleet.size > load_quotes.MAX_ANNOUNCING_ROUTERS
 
     async def choose(
         self,
--- a/hibiscuspass/gateway/member_lease.py
+++ b/hibiscuspass/gateway/member_lease.py
@@ -13,7 +13,8 @@
 
 _log = structlog.get_logger(__name__)
 
-_TTL_S = 10.0
+# Longer than the outages of the store that routers bridge with their tokens.
+_TTL_S = 15.0
 # Renewals also show whether the store can be reached. The interval bounds the
 # time until an outage is noticed.
 _RENEWAL_INTERVAL_S = 2.0
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -14,6 +14,7 @@
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import request_reader
 from hibiscuspass.gateway import upstream
+from hibiscuspass.gateway import upstream_protocol
 
 # Headers that aiohttp writes itself.
 _LIBRARY_HEADERS = frozenset({"date", "server", "content-length"})
@@ -26,7 +27,7 @@
 
 
 class NoProgressError(Exception):
-    """An answer made no progress for too long, and another server is asked."""
+    """An answer made no progress for too long."""
 
 
 class Relay:
@@ -195,7 +196,7 @@
             events_before = self._scanner.events
             whole_events = self._scanner.feed(chunk)
             if len(self._scanner.incomplete_event) > _MAX_EVENT_BYTES:
-                raise aiohttp.ClientPayloadError("event too long")
+                raise upstream_protocol.MalformedAnswerError("event too long")
             if self._scanner.events > events_before:
                 now_s = time.monotonic()
                 watch.on_event(now_s)
@@ -278,7 +279,7 @@
                 return received
             except TimeoutError:
                 if self._may_give_up():
-                    raise NoProgressError("no progress") from None
+                    raise NoProgressError from None
                 self._watch.extend(time.monotonic())
 
 
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -32,6 +32,11 @@
     }
 )
 _MAX_DETAIL_CHARS = 200
+_ERRORS_WITH_OWN_TEXT = (
+    OSError,
+    aiohttp.ClientConnectionError,
+    upstream_protocol.MalformedAnswerError,
+)
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -173,12 +178,14 @@
 def describe(exc: BaseException) -> str:
     """Returns a short description without bytes that a server sent.
 
-    Those bytes may belong to the answer of another caller.
+    The texts of parser errors contain such bytes, which may belong to the
+    answer of another caller.
     """
     name = type(exc).__name__
-    if isinstance(exc, aiohttp.ClientResponseError):
-        return f"{name}: malformed answer"
-    return f"{name}: {exc}"[:_MAX_DETAIL_CHARS]
+    if isinstance(exc, _ERRORS_WITH_OWN_TEXT):
+        return f"{name}: {exc}"[:_MAX_DETAIL_CHARS]
+    cause = exc.__cause__
+    return f"{name}: {type(cause).__name__}" if cause else name
 
 
 async def _discard(resp: aiohttp.ClientResponse, *, reusable: bool) -> None:
--- a/hibiscuspass/gateway/upstream_protocol.py
+++ b/hibiscuspass/gateway/upstream_protocol.py
@@ -18,6 +18,10 @@
 _MAX_FRAMING_PER_BYTE = 16
 
 
+class MalformedAnswerError(aiohttp.ClientPayloadError):
+    """Bytes of a server are no proper answer."""
+
+
 class UpstreamProtocol(client_proto.ResponseHandler):
     """Ends connections whose bytes are not a proper answer.
 
@@ -44,7 +48,7 @@
         if overhead > (
             _MAX_OVERHEAD_BYTES + _MAX_FRAMING_PER_BYTE * body_bytes
         ):
-            exc = aiohttp.ClientPayloadError("answer without end")
+            exc = MalformedAnswerError("answer without end")
             if payload is not None and not payload.is_eof():
                 payload.set_exception(exc)
             self.set_exception(exc)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize("route", _ROUTES)
 @pytest.mark.parametrize(
     "outcomes",
-    itertools.product(_OUTCOMES, ("answered", "proven 503", "lost answer")),
+    [*itertools.product(_OUTCOMES, ("answered", "proven 503", "lost answer"))],
     ids=" then ".join,
 )
 async def test_outcomes_are_true_and_requests_run_once(
--- a/tests/test_load_monitors.py
+++ b/tests/test_load_monitors.py
@@ -80,7 +80,7 @@
     fleet: _Fleet
     name: str
     registered: dict[type, Any] = attrs.field(factory=dict)
-    known_size: int = 20
+    size: int = 20
 
     @property
     def process(self) -> incarnation.Incarnation:
@@ -161,7 +161,7 @@
     """Up to ten routers announce all long prompts to each other."""
     fleet = _Fleet()
     for size, is_needed in ((10, False), (11, True)):
-        fleet.handlers["router-0"].known_size = size
+        fleet.handlers["router-0"].size = size
         assert fleet.monitors["router-0"].is_needed is is_needed
 
 
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -10,6 +10,7 @@
 
 from hibiscuspass.core.forwarding import progress
 from hibiscuspass.core.forwarding import route as route_lib
+from hibiscuspass.gateway import watched_send
 from hibiscuspass.platform import operator_config
 from tests import gateway_system
 from tests import scripted_backend
@@ -151,3 +152,40 @@
     while True:
         await backend.send_more(b"1\r\nd\r\n")
         await asyncio.sleep(0.1)
+
+
+@attrs.define
+class _FakeResponse(aiohttp.ClientResponse):
+    """Records whether its connection was closed."""
+
+    is_closed: bool = False
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def __del__(self, _warnings: object = None) -> None: ...
+
+
+async def test_answer_that_crosses_a_cancellation_is_closed() -> None:
+    """A server would work on for a caller that has left."""
+    answer = _FakeResponse()
+    arrived = asyncio.Event()
+
+    async def exchange() -> aiohttp.ClientResponse:
+        await arrived.wait()
+        return answer
+
+    watch = progress.ProgressWatch(_STREAM, 0.0, time.monotonic())
+    sending = asyncio.create_task(
+        watched_send.send(exchange(), watch, lambda: False)
+    )
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    arrived.set()
+    # The answer is there, but `send` has not seen it yet.
+    await asyncio.sleep(0)
+    sending.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await sending
+    await asyncio.sleep(0.01)
+    assert answer.is_closed
