Reserve headroom for whole requests only where routers lend

Cause: the floor of three requests per workspace applied to fleets of up to ten routers too, where each router serves its own requests and a crash of all would only lose more.

The smaller loss at a crash decides.

--- a/hibiscuspass/core/prepaid/usage_limit.py
+++ b/hibiscuspass/core/prepaid/usage_limit.py
@@ -23,9 +23,9 @@
 # Headroom as a multiple of the mean usage while tokens are plentiful. Few large
 # requests make the usage uneven.
 _AMPLE_HEADROOM_FACTOR = 2.0
-# Least headroom while tokens are plentiful, in typical requests. A workspace
-# with a request every few seconds uses less than one request on average while
-# a limit applies.
+# Least headroom of a router that lends to others while tokens are plentiful, in
+# typical requests. A workspace with a request every few seconds uses less than
+# one request on average while a limit applies.
 _AMPLE_HEADROOM_REQUESTS = 3
 # Target rate of such writes by all routers together.
 _TARGET_FLEET_WRITES_PER_S = 40.0
@@ -66,10 +66,10 @@
     expected_usage = math.ceil(duration_s * state.rate_per_s)
     remaining = state.undrawn / max(1, state.routers) + state.available
     if remaining >= cfg.outage_s * state.rate_per_s:
-        return max(
-            math.ceil(_AMPLE_HEADROOM_FACTOR * expected_usage),
-            _AMPLE_HEADROOM_REQUESTS * state.typical_tokens,
-        )
+        ample = math.ceil(_AMPLE_HEADROOM_FACTOR * expected_usage)
+        if not state.has_borrowers:
+            return ample
+        return max(ample, _AMPLE_HEADROOM_REQUESTS * state.typical_tokens)
     max_lost = cfg.max_lost_share * state.prepaid / max(1, state.routers)
     return min(expected_usage, int(max_lost + duration_s * urgent_per_s))
 
