--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -201,45 +201,20 @@
     async def _search(
         self, workspace: str, tokens: int, priority: int, deadline_s: float
     ) -> usage_lib.Hold | refusal.Refusal:
-        """Draws tokens from the store, then borrows from peers.
+        """Gets tokens from the store and from peers.
 
-        A router that is not a holder of the workspace asks the holders first.
-        They draw for it, so it draws only if one of them did not answer or
-        could not draw.
         During an outage of the store, tokens of this router beyond its usage
         limits become usable when the limits expire, so a short wait may help.
         """
         hold = self.accounts.hold(workspace, tokens, priority, time.monotonic())
         if hold:
             return hold
-        borrowed = loans.Borrowing(all_answered=False, store_asked=False)
-        if not self.accounts.holders.is_holder(workspace):
-            borrowed = await self._loans.borrow(
-                workspace, tokens, priority, single_asks=2
-            )
-            hold = self.accounts.hold(
-                workspace, tokens, priority, time.monotonic()
-            )
-            if hold:
-                return hold
-        reserved = self.accounts.reserve(workspace, priority, time.monotonic())
-        store_asked = borrowed.store_asked
-        all_peers_answered = borrowed.all_answered
-        if not (store_asked and all_peers_answered):
-            store_asked = await self._draw_for(workspace, tokens + reserved)
-            hold = self.accounts.hold(
-                workspace, tokens, priority, time.monotonic()
-            )
-            if hold:
-                return hold
-            borrowed = await self._loans.borrow(
-                workspace, tokens + reserved, priority
-            )
-            all_peers_answered = borrowed.all_answered
+        asked = await self._fetch(workspace, tokens, priority)
         now_s = time.monotonic()
         hold = self.accounts.hold(workspace, tokens, priority, now_s)
         if hold:
             return hold
+        reserved = self.accounts.reserve(workspace, priority, now_s)
         usable_in_s = self.accounts.wait_until_usable_s(
             workspace, tokens + reserved, now_s
         )
@@ -249,7 +224,7 @@
             hold = self.accounts.hold(workspace, tokens, priority, now_s)
             if hold:
                 return hold
-        is_exhausted = store_asked and all_peers_answered
+        is_exhausted = asked.store_asked and asked.all_answered
         reason = (
             reason_lib.Reason.BUDGET_EXHAUSTED
             if is_exhausted
@@ -266,13 +241,36 @@
             reserve=reserved,
             available=self.accounts.available(workspace),
             undrawn=self.accounts.undrawn(workspace),
-            store_asked=store_asked,
-            peers_asked=all_peers_answered,
+            store_asked=asked.store_asked,
+            peers_asked=asked.all_answered,
             remaining=self.accounts.remaining(workspace),
             opens_in_s=usable_in_s,
         )
         return _refuse(reason, usable_in_s)
 
+    async def _fetch(
+        self, workspace: str, tokens: int, priority: int
+    ) -> loans.Borrowing:
+        """Draws tokens from the store, then borrows from peers.
+
+        A router that is not a holder of the workspace asks the holders first.
+        They draw for it, so it draws only if one of them did not answer or
+        could not draw.
+        """
+        if not self.accounts.holders.is_holder(workspace):
+            borrowed = await self._loans.borrow(
+                workspace, tokens, priority, single_asks=2
+            )
+            is_final = borrowed.all_answered and borrowed.store_asked
+            if is_final or self.accounts.available(workspace) >= tokens:
+                return borrowed
+        tokens += self.accounts.reserve(workspace, priority, time.monotonic())
+        store_asked = await self._draw_for(workspace, tokens)
+        if self.accounts.available(workspace) >= tokens:
+            return loans.Borrowing(all_answered=True, store_asked=store_asked)
+        borrowed = await self._loans.borrow(workspace, tokens, priority)
+        return attrs.evolve(borrowed, store_asked=store_asked)
+
     async def _draw_for(self, workspace: str, tokens: int) -> bool:
         """Draws tokens for one request.
 
