Give a test of keep-alive comments ten times its margin

Cause of the one failure of test_a_lost_cache_event_stream_ends: the stream's idle timeout was 0.2 s of real time with a comment every 0.1 s. A pause of the process of 0.25 s ends the stream: with such a pause, injected by a fixture, all three cases failed with 0.2 s and passed with 1.0 s. What is checked is the same: the stream outlives twice its idle timeout, and ends after each fault.

--- a/tests/test_engine_reports.py
+++ b/tests/test_engine_reports.py
@@ -16,7 +16,9 @@
 from tests import assertions
 from tests import engine_calls
 
-_IDLE_TIMEOUT_S = 0.2
+# Ten times the interval of the keep-alive comments, so that a pause of the
+# machine is not taken for silence.
+_IDLE_TIMEOUT_S = 1.0
 # Long enough to connect on a busy machine, so that a call fails only because
 # of the injected fault.
 _SHORT_CALL_S = 1.0
