--- a/hibiscuspass/core/forwarding/load_quotes.py
+++ b/hibiscuspass/core/forwarding/load_quotes.py
@@ -77,7 +77,7 @@
         return min(self._ranked[:count], key=lambda n: _hash(f"{instance}/{n}"))
 
 
-def is_good(quote: engine_loads.Quote) -> bool:
+def is_acceptable(quote: engine_loads.Quote) -> bool:
     """Returns whether no other candidates need to be asked."""
     return quote.wait_s <= _SHORT_WAIT_S and quote.slowness <= _NORMAL_SLOWNESS
 
--- a/hibiscuspass/core/prepaid/holders.py
+++ b/hibiscuspass/core/prepaid/holders.py
@@ -84,7 +84,7 @@
         """Returns whether this router draws for a workspace."""
         return self._own_name in self.of(workspace)
 
-    def colleagues(self, workspaces: Iterable[str]) -> set[str]:
+    def other_holders(self, workspaces: Iterable[str]) -> set[str]:
         """Returns the other holders of the workspaces that this router holds.
 
         Args:
--- a/hibiscuspass/core/prepaid/prepaid_accounts.py
+++ b/hibiscuspass/core/prepaid/prepaid_accounts.py
@@ -78,9 +78,9 @@
         """Returns whether a workspace has a prepaid amount."""
         return workspace in self._prepaid
 
-    def colleagues(self) -> set[str]:
+    def other_holders(self) -> set[str]:
         """Returns the other holders of this router's workspaces."""
-        return self.holders.colleagues(self._prepaid)
+        return self.holders.other_holders(self._prepaid)
 
     def available(self, workspace: str) -> int:
         """Returns the tokens that this router may use now."""
--- a/hibiscuspass/gateway/load_monitors.py
+++ b/hibiscuspass/gateway/load_monitors.py
@@ -209,7 +209,7 @@
         now_s = time.monotonic()
         parts = _parts(msg)
         quote = loads.quote(msg.instance, parts, msg.input_tokens, now_s)
-        is_booked = msg.may_book and load_quotes.is_good(quote)
+        is_booked = msg.may_book and load_quotes.is_acceptable(quote)
         if is_booked:
             loads.add_work(msg.instance, parts, quote.new_tokens, now_s)
         return messages.Load(
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -133,7 +133,7 @@
         self.accounts.routers = self._fleet.size
         self.accounts.holders.set_names(self._fleet.addresses_by_name())
         # Holders write the same records. Totals of the others spare conflicts.
-        self._fleet.subscribe_to(self.accounts.colleagues())
+        self._fleet.subscribe_to(self.accounts.other_holders())
         if not self._can_write:
             return False
         changes = self.accounts.planned_changes(time.monotonic())
--- a/tests/test_load_quotes.py
+++ b/tests/test_load_quotes.py
@@ -88,7 +88,7 @@
         candidates = load_quotes.candidates(req, backends)
         first = candidates[0]
         quote = self._quote(first, req, now_s)
-        if load_quotes.is_good(quote):
+        if load_quotes.is_acceptable(quote):
             choice = backend_selector.Choice(
                 first, quote.new_tokens, quote.expected_s
             )
@@ -303,7 +303,7 @@
         (0.0, 0.7, False),
     ],
 )
-def test_monitors_are_told_of_surprises_only(
+def test_monitors_are_told_of_unexpected_times_only(
     expected_s: float, elapsed_s: float, notable: bool
 ) -> None:
     """Most requests need no message after their send."""
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -124,9 +124,9 @@
         pending = asyncio.create_task(_send_ask(system))
         slow = await _first_asked(system)
         resp = await pending
-        drip = asyncio.create_task(_drip(slow))
+        sending = asyncio.create_task(_send_single_bytes(slow))
         assert await resp.text() == forwarding.text(0, 1, 2)
-        drip.cancel()
+        sending.cancel()
     assert len(system.request_heads) == 2
 
 
@@ -148,7 +148,7 @@
     return next(b for b in system.backends if b.requests)
 
 
-async def _drip(backend: scripted_backend.ScriptedBackend) -> None:
+async def _send_single_bytes(backend: scripted_backend.ScriptedBackend) -> None:
     while True:
         await backend.send_more(b"1\r\nd\r\n")
         await asyncio.sleep(0.1)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -172,13 +172,13 @@
     first = holders.holders("press", names)[0]
     own = holders.Holders(first)
     own.set_names(names)
-    assert own.colleagues(["press", "desk"]) == set(
+    assert own.other_holders(["press", "desk"]) == set(
         holders.holders("press", names)
     ) - {first}
     other = holders.Holders(holders.holders("press", names[::-1])[0] + "-x")
     other.set_names(names)
     assert not other.is_holder("press")
-    assert other.colleagues(["press"]) == set()
+    assert other.other_holders(["press"]) == set()
 
 
 def test_routers_that_are_not_holders_do_not_draw() -> None:
