--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,3 +25,17 @@
     outcome = await run_lib.run(seed, tmp_path)
     assert outcome.problems == [], outcome.faults
     assert outcome.served > 0
+
+
+async def test_guarantees_hold_where_few_routers_hold_the_tokens(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards the loans, leases and monitors of fleets of more than ten routers.
+
+    Up to ten routers all draw tokens and announce their prompts to each other.
+    """
+    outcome = await run_lib.run(
+        7001, tmp_path, run_lib.Size(gateways=12, callers=6, length_s=4.0)
+    )
+    assert outcome.problems == [], outcome.faults
+    assert outcome.served > 0
