Check the store beside long polls

Cause: with polls of 30 s, routers relied on neighbours for a change whose reply was lost.

If neither a router nor a neighbour has had an answer for about half of the contact time, the router asks without waiting and tells the answer to its neighbours. Replaces the count of neighbours that are heard.

--- a/hibiscuspass/core/liveness.py
+++ b/hibiscuspass/core/liveness.py
@@ -9,8 +9,8 @@
 
     Attributes:
       address: `host:port` of the sender's peer link.
-      revisions: Revision of the newest change that the sender has read, by
-        prefix of the keys that it follows.
+      revisions: Prefixes of keys for which the store has just answered the
+        sender, with the revision of the newest change that it has read.
     """
 
     address: str
--- a/hibiscuspass/core/membership/gateway_peers.py
+++ b/hibiscuspass/core/membership/gateway_peers.py
@@ -77,13 +77,6 @@
         """Returns the peers that are alive and not suspected."""
         return [p for p in self._peers.values() if self._is_live(p, now_s)]
 
-    def heard_neighbours(self, now_s: float) -> int:
-        """Returns the number of neighbours whose messages arrive."""
-        return sum(
-            now_s - self._peers[a].heard_s < SILENCE_TIMEOUT_S
-            for a in self._neighbours
-        )
-
     def add(
         self, address: str, process: incarnation.Incarnation, now_s: float
     ) -> bool:
--- a/hibiscuspass/gateway/fleet.py
+++ b/hibiscuspass/gateway/fleet.py
@@ -1,7 +1,7 @@
 """Tracks the other routers of the fleet and whether they are alive.
 
 Routers are discovered through their records in the store. Neighbours also
-publish heartbeats, which carry the newest changes of the store that they read.
+publish heartbeats, and announce the answers of the store.
 """
 
 import asyncio
@@ -36,12 +36,12 @@
 AnnouncementHandler = Callable[[str, int], None]
 
 
-class Fleet(follower.Witnesses):
+class Fleet(follower.Peers):
     """Known peers, with the time of their last message.
 
     Attributes:
       process: Identity of this router.
-      on_announced: Called with each change that a peer has read.
+      on_announced: Called when a peer had an answer of the store.
     """
 
     def __init__(
@@ -55,7 +55,6 @@
         self._address = address
         self._store = store
         self._peers = gateway_peers.GatewayPeers(process.name)
-        self._revisions: dict[str, int] = {}
         self._publishers: frozenset[str] = frozenset()
         self._pubsub: pynng_pubsub.PynngPubSub | None = None
 
@@ -92,15 +91,12 @@
         peer = self._peers.get(address)
         return peer.process if peer else None
 
-    def count(self) -> int:
-        """See base class."""
-        return self._peers.heard_neighbours(time.monotonic())
-
     def announce(self, prefix: str, revision: int) -> None:
         """See base class."""
-        if revision > self._revisions.get(prefix, 0):
-            self._revisions[prefix] = revision
-            self._publish_heartbeat()
+        if self._pubsub:
+            self._pubsub.publish(
+                liveness.Alive(self._address, {prefix: revision})
+            )
 
     def subscribe_to(self, names: Iterable[str]) -> None:
         """Sets the routers whose messages are received, next to neighbours."""
@@ -132,16 +128,10 @@
                     time.monotonic() - self._pubsub.last_published_s
                 )
                 if since_publish_s >= _HEARTBEAT_INTERVAL_S:
-                    self._publish_heartbeat()
+                    self._pubsub.publish(liveness.Alive(self._address))
                 self._redial_silent(self._pubsub)
             await asyncio.sleep(_HEARTBEAT_CHECK_INTERVAL_S)
 
-    def _publish_heartbeat(self) -> None:
-        if self._pubsub:
-            self._pubsub.publish(
-                liveness.Alive(self._address, dict(self._revisions))
-            )
-
     def _redial_silent(self, pubsub: pynng_pubsub.PynngPubSub) -> None:
         """Replaces connections to silent peers and removes lost peers."""
         now_s = time.monotonic()
--- a/hibiscuspass/gateway/store_followers.py
+++ b/hibiscuspass/gateway/store_followers.py
@@ -17,7 +17,7 @@
 from hibiscuspass.platform import server_list
 
 # Interval of the checks whether replies of waiting polls were lost.
-_CHECK_INTERVAL_S = 0.25
+_CHECK_INTERVAL_S = 0.1
 # Shortest time between two replies with changes of the backend servers, as a
 # share of the contact time. During a release each change would otherwise cost
 # one call per router.
@@ -61,7 +61,7 @@
 
 def make_store_followers(
     store: txn_store.TxnStore,
-    witnesses: follower.Witnesses,
+    peers: follower.Peers,
     on_table: Callable[[route_table.RouteTable], None],
     contact_s: float,
 ) -> StoreFollowers:
@@ -69,7 +69,7 @@
 
     Args:
       store: Store of the configuration and the list of backend servers.
-      witnesses: Peers that follow the same prefixes.
+      peers: Routers that follow the same prefixes.
       on_table: Called with each new configuration.
       contact_s: Time within which a lost connection to the store must be
         noticed, in seconds.
@@ -88,14 +88,14 @@
                 store,
                 operator_config.PREFIX,
                 config,
-                witnesses,
+                peers,
                 contact_s=contact_s,
             ),
             follower.Follower(
                 store,
                 server_list.PREFIX,
                 backends,
-                witnesses,
+                peers,
                 contact_s=contact_s,
                 min_interval_s=contact_s * _BACKEND_INTERVAL_SHARE,
             ),
