--- a/hibiscuspass/core/membership/poll_guard.py
+++ b/hibiscuspass/core/membership/poll_guard.py
@@ -15,7 +15,7 @@
 # The rest leaves time for the answer and for those that hear of it.
 _MAX_AGE_SHARE = 0.45
 # Largest share of the contact time by which routers wait longer at random. The
-# first one spares the others their polls.
+# first one spares the others their checks.
 _JITTER_SHARE = 0.1
 # Time for the own reply to arrive after a peer has announced its own.
 _REPLY_GRACE_S = 0.1
