Let all tests take ports from one place

Both take them from tests/free_ports.py, where each test process claims a range by listening on its first port; that also holds for two runs at the same time.

--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import pathlib
-import random
 import signal
-import socket
 import sys
 from typing import Any
 
@@ -24,6 +22,7 @@
 from hibiscuspass.core.configuration import record
 from hibiscuspass.core.configuration import workspace as workspace_lib
 from hibiscuspass.settings import secrets
+from tests import free_ports
 
 MODEL = "m"
 WORKSPACE = "ws"
@@ -31,18 +30,6 @@
 # Waiting is limited by the number of polls, not by time.
 _MAX_POLLS = 600
 _POLL_INTERVAL_S = 0.05
-# Below the range from which Linux takes the ports of outgoing connections. One
-# of those could take the port before the program listens on it.
-_PORT_RANGE = (20_000, 32_000)
-
-
-def free_port() -> int:
-    """Returns a port that is currently free."""
-    while True:
-        port = random.SystemRandom().randrange(*_PORT_RANGE)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
 
 
 @attrs.define(eq=False)
@@ -118,8 +105,8 @@
         self, name: str, kind: str, *args: str, port: int = 0
     ) -> Program:
         """Starts a test server, on a free port if `port` is 0."""
-        port = port or free_port()
-        control_port = free_port()
+        port = port or free_ports.free_port()
+        control_port = free_ports.free_port()
         program = await self.start(
             name,
             f"standins.{kind}",
@@ -134,7 +121,7 @@
 
     async def start_router(self, name: str, **settings: Any) -> Program:
         """Starts a router and waits until it is ready."""
-        port, peer_port = free_port(), free_port()
+        port, peer_port = free_ports.free_port(), free_ports.free_port()
         await self.add_vm(name, peer_port, "router", f"fd-{name}")
         path = self._directory / f"{name}.yaml"
         path.write_text(
@@ -153,7 +140,7 @@
         operators.write_text(
             yaml.safe_dump({"operators": [attrs.asdict(stored)]})
         )
-        port, peer_port = free_port(), free_port()
+        port, peer_port = free_ports.free_port(), free_ports.free_port()
         settings = self._settings(name, port, peer_port, {})
         del settings["shutdown_grace_s"]
         path = self._directory / f"{name}.yaml"
