End a stop that coincides with a published message

Ruled out: the server of the peer links, which checks its socket after each frame.

Before: the new test fails (close() doesn't return within 2 s). After: it passes; the other tests of the peer links pass.

--- a/hibiscuspass/peers/pynng_pubsub.py
+++ b/hibiscuspass/peers/pynng_pubsub.py
@@ -94,13 +94,14 @@
 
     async def close(self) -> None:
         """Stops publishing and receiving and closes all connections."""
+        publisher, self._publisher = self._publisher, None
+        subscriber, self._subscriber = self._subscriber, None
         if self._receiver:
             self._receiver.cancel()
             await asyncio.gather(self._receiver, return_exceptions=True)
-        for socket in (self._publisher, self._subscriber):
+        for socket in (publisher, subscriber):
             if socket:
                 socket.close()
-        self._publisher = self._subscriber = None
 
     def set_peers(self, addresses: set[str]) -> None:
         """Connects to new peers and disconnects from peers not in `addresses`.
@@ -141,7 +142,8 @@
             self.last_published_s = time.monotonic()
 
     async def _receive(self, socket: pynng.Sub0) -> None:
-        while True:
+        # pynng suppresses a cancellation that arrives together with a frame.
+        while self._subscriber is socket:
             try:
                 self._handle(await socket.arecv())
                 with contextlib.suppress(pynng.TryAgain):
--- a/tests/test_pynng_pubsub.py
+++ b/tests/test_pynng_pubsub.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import time
 
 import pytest
 
@@ -77,6 +78,24 @@
         assert received
 
 
+async def test_channel_closes_while_a_message_arrives() -> None:
+    """Guards against a stop that never ends.
+
+    The library drops a cancellation that arrives together with a message.
+    """
+    async with (
+        _running("a") as (sender, address, _),
+        _running("b") as (subscriber, _, received),
+    ):
+        subscriber.set_peers({address})
+        await _publish_until_received(sender, received)
+        sender.publish(liveness.Alive("h:2"))
+        # The message arrives while the event loop is blocked.
+        time.sleep(0.1)  # noqa: ASYNC251
+        async with asyncio.timeout(2.0):
+            await subscriber.close()
+
+
 async def test_message_with_another_key_is_dropped() -> None:
     """A process without the fleet key must not report totals or loads."""
     async with (
