Ask the routers that write regularly for the age of a record

After a loss of all routers, each holder of prepaid tokens asks its peers how old the record of its earlier start was. In fleets of more than ten routers most peers borrow their tokens and write to the store once, so their clocks only tell how long they had run.

Now the holders of the workspaces in the record are asked. As many clocks as before have to agree.

Test: test_routers_that_seldom_write_are_not_asked_for_ages.

--- a/hibiscuspass/core/prepaid/holders.py
+++ b/hibiscuspass/core/prepaid/holders.py
@@ -84,11 +84,19 @@
         """Returns whether this router draws for a workspace."""
         return self._own_name in self.of(workspace)
 
+    def of_any(self, workspaces: Iterable[str]) -> set[str]:
+        """Returns the names of the holders of any of the workspaces.
+
+        Args:
+          workspaces: Workspaces to consider.
+        """
+        return set(itertools.chain.from_iterable(map(self.of, workspaces)))
+
     def other_holders(self, workspaces: Iterable[str]) -> set[str]:
         """Returns the other holders of the workspaces that this router holds.
 
         Args:
           workspaces: Workspaces to consider.
         """
-        groups = (self.of(w) for w in workspaces if self.is_holder(w))
-        return set(itertools.chain.from_iterable(groups)) - {self._own_name}
+        own = filter(self.is_holder, workspaces)
+        return self.of_any(own) - {self._own_name}
--- a/hibiscuspass/gateway/registration.py
+++ b/hibiscuspass/gateway/registration.py
@@ -109,7 +109,9 @@
         amounts = takeover.unused_tokens(record)
         if not amounts:
             return None
-        age_s = await self._age_tracker.age_bound(record)
+        age_s = await self._age_tracker.age_bound(
+            record, self._accounts.holders.of_any(record.drawn)
+        )
         limits_hold = takeover.do_limits_hold(record, age_s)
         _log.info(
             "tokens of the earlier start",
--- a/hibiscuspass/gateway/revision_age_tracker.py
+++ b/hibiscuspass/gateway/revision_age_tracker.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Mapping
 import random
 import time
@@ -78,14 +79,16 @@
             self._earlier_writes = takeover.history_of(records)
 
     async def age_bound(
-        self, record: store_record.RouterRecord
+        self, record: store_record.RouterRecord, writers: Collection[str]
     ) -> float | None:
         """Returns how old a record was at most when its process ended.
 
-        Asks the peers until they give enough evidence or the time is up.
+        Asks peers until they give enough evidence or the time is up.
 
         Args:
           record: Record of an earlier start of this router.
+          writers: Names of the routers that write to the store regularly. The
+            bounds of others are as old as their last write.
 
         Returns:
           Age in seconds; None if there is not enough evidence.
@@ -93,7 +96,9 @@
         own_s = self._started_wall_s - record.sent_ms / 1000
         deadline_s = _boot_time_s() + _MAX_WAIT_S
         while True:
-            evidence = await self._collect_evidence(record.seen_revision)
+            evidence = await self._collect_evidence(
+                record.seen_revision, writers
+            )
             peers = len(self._fleet.peers())
             bound = takeover.age_bound(own_s, evidence, peers)
             if bound is not None or _boot_time_s() >= deadline_s:
@@ -109,8 +114,11 @@
         )
         return bound
 
-    async def _collect_evidence(self, revision: int) -> takeover.Evidence:
-        peers = self._fleet.peers()
+    async def _collect_evidence(
+        self, revision: int, writers: Collection[str]
+    ) -> takeover.Evidence:
+        addresses = self._fleet.addresses_by_name()
+        peers = [addresses[name] for name in writers if name in addresses]
         peers = random.sample(peers, min(len(peers), _MAX_PEERS))
         # The earlier start had ended when this process started, so the time
         # since then is not part of the age. It is measured before the request:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of the list of live peers and of bounds on the age of revisions."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
@@ -177,6 +178,17 @@
         return self._replies.pop(0) if self._replies else refusal.Refusal
 
 
+class _AgesByAddress(_Transport):
+    """Answers each peer's request with an age of its own."""
+
+    def __init__(self, ages: dict[str, messages.Age]) -> None:
+        super().__init__()
+        self._ages = ages
+
+    async def request(self, address: str, *_: object, **__: object) -> object:
+        return self._ages[address]
+
+
 def _age_tracker(fleet: fleet_lib.Fleet, *replies: object):
     transport = _Transport(*replies)
     age_tracker = revision_age_tracker.RevisionAgeTracker(transport, fleet)
@@ -208,7 +220,7 @@
     age_tracker, _ = _age_tracker(fleet, messages.Age(6.0, True))
     clock.now_s += 2.0
     record = store_record.RouterRecord("h:1", seal_s=4.0, seen_revision=9)
-    assert await age_tracker.age_bound(record) == 4.0
+    assert await age_tracker.age_bound(record, {_PEER.name}) == 4.0
 
 
 async def test_pause_while_peers_are_asked_does_not_reduce_the_age(
@@ -231,6 +243,36 @@
     age_tracker._transport.request = request
     clock.now_s += 2.0
     record = store_record.RouterRecord("h:1", seal_s=4.0, seen_revision=9)
-    bound = await age_tracker.age_bound(record)
+    bound = await age_tracker.age_bound(record, {_PEER.name})
     assert bound is not None
     assert bound >= 4.0
+
+
+async def test_routers_that_seldom_write_are_not_asked_for_ages(
+    clock: _Clock,
+) -> None:
+    """Guards the tokens of a large fleet that was lost and started again.
+
+    Routers that borrow their tokens write once, so the ages that they know
+    tell how long they have run and not when the earlier start wrote. With such
+    ages no router took over the tokens of its earlier start.
+    """
+    pubsub = _FakePubSub()
+    fleet = _fleet(pubsub)
+    ages = {_ADDRESS: messages.Age(50.0, False)}
+    for number in (3, 4, 5):
+        address = f"10.0.0.{number}:7000"
+        writer = incarnation.Incarnation(f"router-{number}", "1")
+        pubsub.handlers[liveness.Alive](writer, liveness.Alive(address))
+        ages[address] = messages.Age(2.0 + number / 10, False)
+    age_tracker = revision_age_tracker.RevisionAgeTracker(
+        _AgesByAddress(ages), fleet
+    )
+    record = store_record.RouterRecord(
+        "h:1",
+        seal_s=4.0,
+        seen_revision=9,
+        sent_ms=int(1000 * (time.time() - 1.0)),
+    )
+    writers = {"router-1", "router-3", "router-4", "router-5"}
+    assert await age_tracker.age_bound(record, writers) == pytest.approx(2.5)
