Stop using tokens that a later start has taken over

Looked for after reports of similar systems: around a hand-over between two processes both acted for a moment. A start of a router takes over the tokens above the limits of the earlier start and removes its record. If the earlier process was only paused, it found its next renewal in conflict, kept its drawn tokens, and after its limits had expired it used them a second time.

A process that finds its record removed keeps what lies below its lowest limits, writes nothing more and logs an error. Not covered: an earlier process that is paused, then cut off from the store. On the users' platform a start begins after the earlier process has ended.

--- a/hibiscuspass/core/prepaid/ledger_view.py
+++ b/hibiscuspass/core/prepaid/ledger_view.py
@@ -79,11 +79,14 @@
     Attributes:
       usage_limits: Usage limits in the record of this router.
       seen_revision: Newest known revision of the store.
+      is_replaced: Whether a later start of this router has removed the record
+        of this process.
     """
 
     def __init__(self, process: incarnation.Incarnation, address: str) -> None:
         self.usage_limits = usage_limit.UsageLimits()
         self.seen_revision = 0
+        self.is_replaced = False
         self._key = store_record.router_key(process)
         self._address = address
         self._own_revision = 0
@@ -224,12 +227,26 @@
             self._own_drawn = dict(record.drawn)
             self._own_revision = own.revision
             self._uncertain_returns = {}
+        elif own is None and self._own_revision and self._key in keys:
+            self._on_replaced()
         for key in keys:
             if not key.startswith(store_record.WORKSPACE_PREFIX):
                 continue
             name = key.removeprefix(store_record.WORKSPACE_PREFIX)
             self._update_total(name, current.get(key))
 
+    def _on_replaced(self) -> None:
+        """Leaves the tokens above the limits to the start that took them over.
+
+        Only a later start of this router removes its record.
+        """
+        self.is_replaced = True
+        lowest = self.usage_limits.lowest_limits
+        self._own_drawn = {
+            name: min(drawn, lowest.get(name, 0))
+            for name, drawn in self._own_drawn.items()
+        }
+
     def on_totals(self, totals: Mapping[str, int], revision: int) -> None:
         """Applies totals that a peer wrote, which avoids write conflicts."""
         self._update_seen_revision(revision)
--- a/hibiscuspass/core/prepaid/usage_limit.py
+++ b/hibiscuspass/core/prepaid/usage_limit.py
@@ -156,6 +156,11 @@
         """Stamp of the newest record that the store may contain."""
         return self._unconfirmed or self._confirmed
 
+    @property
+    def lowest_limits(self) -> Mapping[str, int]:
+        """Lowest limits of all records that the store may contain."""
+        return self._lowest_limits
+
     def expires_at_s(self) -> float:
         """Returns the monotonic time at which the limits expire."""
         stamp = self.last_stamp
--- a/hibiscuspass/gateway/ledger_writer.py
+++ b/hibiscuspass/gateway/ledger_writer.py
@@ -52,8 +52,11 @@
 
     @property
     def is_paused(self) -> bool:
-        """Whether writes pause because the last one failed."""
-        return time.monotonic() < self._paused_until_s
+        """Whether writes pause because the last one failed, or have ended."""
+        return (
+            self._accounts.ledger.is_replaced
+            or time.monotonic() < self._paused_until_s
+        )
 
     async def register(
         self,
@@ -186,13 +189,17 @@
     def _on_conflict(
         self, txn: ledger_view.Transaction, outcome: txn_store.Conflict
     ) -> txn_store.Conflict | refusal.Refusal:
+        ledger = self._accounts.ledger
+        was_replaced = ledger.is_replaced
         try:
-            self._accounts.ledger.on_conflict(txn, outcome.current)
+            ledger.on_conflict(txn, outcome.current)
         except msgspec.MsgspecError as exc:
             _log.error("unreadable ledger record", error=str(exc))
             return refusal.Refusal(
                 reason_lib.Reason.INVALID_REQUEST, f"ledger record: {exc}"
             )
+        if ledger.is_replaced and not was_replaced:
+            _log.error("a later start has replaced this process")
         return outcome
 
     def _on_refused(
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -183,7 +183,12 @@
         # Tokens of a later draw would be lost when this process ends.
         self._is_closing = True
         surplus = self.accounts.full_return_changes()
-        if surplus and await self._writer.write_changes(surplus):
+        is_replaced = self.accounts.ledger.is_replaced
+        if (
+            surplus
+            and not is_replaced
+            and await self._writer.write_changes(surplus)
+        ):
             _log.info("returned prepaid tokens", workspaces=len(surplus))
             return
         for peer in self._fleet.peers():
--- a/hibiscuspass/peers/pynng_pubsub.py
+++ b/hibiscuspass/peers/pynng_pubsub.py
@@ -143,7 +143,7 @@
 
     async def _receive(self, socket: pynng.Sub0) -> None:
         # pynng suppresses a cancellation that arrives together with a frame.
-        while self._subscriber is socket:
+        while self._subscriber is not None:
             try:
                 self._handle(await socket.arecv())
                 with contextlib.suppress(pynng.TryAgain):
--- a/tests/test_ledger_writer.py
+++ b/tests/test_ledger_writer.py
@@ -1,14 +1,17 @@
 """Tests of ledger writes that wait for each other."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
 
 from hibiscuspass.core import incarnation
 from hibiscuspass.core.prepaid import draw_policy
+from hibiscuspass.core.prepaid import ledger_view
 from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
 from hibiscuspass.core.prepaid import store_record
+from hibiscuspass.core.prepaid import takeover
 from hibiscuspass.gateway import ledger_writer
 from tests import memory_store
 
@@ -32,17 +35,26 @@
 
 def _writer(
     drawn: int,
+    store: memory_store.MemoryStore | None = None,
+    start_id: str = "1",
 ) -> tuple[
     ledger_writer.LedgerWriter,
     accounts_lib.PrepaidAccounts,
     memory_store.MemoryStore,
 ]:
-    """Returns a writer, with `drawn` tokens drawn by other routers."""
-    store = memory_store.MemoryStore()
-    record = store_record.WorkspaceRecord(drawn)
-    store.apply({}, {_KEY: store_record.encode(record)})
+    """Returns a writer, with `drawn` tokens drawn by other routers.
+
+    Args:
+      drawn: Tokens drawn by other routers, if the store is new.
+      store: Store of an earlier writer.
+      start_id: Start of the router.
+    """
+    if store is None:
+        store = memory_store.MemoryStore()
+        record = store_record.WorkspaceRecord(drawn)
+        store.apply({}, {_KEY: store_record.encode(record)})
     accounts = accounts_lib.PrepaidAccounts(
-        incarnation.Incarnation("router-1", "1"),
+        incarnation.Incarnation("router-1", start_id),
         "h:1",
         draw_policy.DrawConfig(),
     )
@@ -95,3 +107,33 @@
     await returning
     assert _total(store) >= 900
     assert accounts.remaining("desk") >= 0
+
+
+async def test_replaced_process_leaves_the_tokens_to_the_next_start() -> None:
+    """Two starts of a router must not use the same tokens around a hand-over.
+
+    A process that was paused may go on after the next start has taken over its
+    tokens. It finds its record removed by then.
+    """
+    writer, accounts, store = _writer(0)
+    await writer.write_changes({"desk": 5000})
+    key = store_record.router_key(incarnation.Incarnation("router-1", "1"))
+    item = store.items[key]
+    unused = takeover.unused_tokens(store_record.decode_router(item.value))
+    assert unused["desk"] > 0
+    next_writer, next_accounts, _ = _writer(0, store, start_id="2")
+    assert await next_writer.register(
+        [key], ledger_view.TokenTakeover(key, item.revision, unused)
+    )
+    await writer.write_changes({})
+    # By now the limits of both have expired.
+    later_s = time.monotonic() + 60.0
+    for start in (accounts, next_accounts):
+        while start.hold("desk", 1, 0, later_s):
+            pass
+    in_use = sum(
+        start.token_counts()["desk"][2] for start in (accounts, next_accounts)
+    )
+    assert 0 < in_use <= _total(store)
+    assert accounts.ledger.is_replaced
+    assert not next_accounts.ledger.is_replaced
