Test stops under load, with pipelined and half-sent requests

Looked for after reports of similar systems: during a planned stop under load, requests that had just been accepted were cut off without an answer. Twenty callers on kept connections, pipelined requests, a body that is complete only after requests are no longer accepted, SIGTERM once and twice while the store was never reached: not found.

--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,224 @@
+"""Guards requests that arrive while a gateway stops under load."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import signal
+import sys
+
+from aiohttp import web
+import attrs
+import pytest
+import yaml
+
+from tests import free_ports
+from tests import gateway_system
+from tests.soak import system as system_lib
+
+_CALLERS = 20
+# Time after SIGTERM in which requests are still served, and the grace period.
+_ACCEPT_S = 3.0
+_GRACE_S = 5.0
+
+
+@attrs.define
+class _Outcomes:
+    """What callers saw.
+
+    Attributes:
+      statuses: Number of complete answers by status.
+      unanswered: Ids of requests whose connection ended without an answer.
+    """
+
+    statuses: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
+    unanswered: list[str] = attrs.field(factory=list)
+
+
+def _request(attempt_id: str, path: str = "/status/x") -> bytes:
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {gateway_system.HOST}\r\n"
+        f"X-Attempt-Id: {attempt_id}\r\n"
+        f"Authorization: Bearer {gateway_system.KEY}\r\n"
+        "X-Deadline-Ms: 9000\r\n\r\n"
+    ).encode()
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
+    """Returns the status of an answer and whether the connection stays open.
+
+    Raises:
+      asyncio.IncompleteReadError: The connection ended before the answer.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    _, _, length = head.partition("content-length: ")
+    await reader.readexactly(int(length.split("\r\n")[0]))
+    return int(head.split()[1]), "connection: close" not in head
+
+
+async def _call_repeatedly(
+    address: str, name: str, outcomes: _Outcomes
+) -> None:
+    """Sends requests over kept connections until the gateway is gone."""
+    host, _, port = address.rpartition(":")
+    numbers = itertools.count()
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionError:
+            return
+        is_open = True
+        with contextlib.closing(writer):
+            while is_open:
+                attempt_id = f"{name}-{next(numbers)}"
+                try:
+                    writer.write(_request(attempt_id))
+                    status, is_open = await _read_answer(reader)
+                    outcomes.statuses[status] += 1
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    outcomes.unanswered.append(attempt_id)
+                    is_open = False
+                await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def _system(
+    runs: collections.Counter[str], delay_s: float = 0.02
+) -> AsyncIterator[gateway_system.System]:
+    """Runs a gateway with a backend server that echoes the ids of requests."""
+
+    async def serve(req: web.Request) -> web.Response:
+        attempt_id = req.headers["X-Attempt-Id"]
+        await req.read()
+        runs[attempt_id] += 1
+        await asyncio.sleep(delay_s)
+        headers = {"X-Attempt-Id": attempt_id, "X-Server-Stamp": "s"}
+        return web.Response(headers=headers, text="done")
+
+    app = web.Application()
+    app.router.add_route("*", "/{tail:.*}", serve)
+    runner, address = await system_lib.serve(app)
+    async with gateway_system.running(grace_s=_GRACE_S) as system:
+        system.move_backend(0, address)
+        await asyncio.sleep(0.1)
+        yield system
+    await runner.cleanup()
+
+
+async def test_requests_that_were_passed_on_are_answered_in_a_stop() -> None:
+    """A request that a backend server ran must not end without its answer.
+
+    Requests at the end of the stop are refused as not run. Those that cross
+    the close of their connection end without an answer and have not run.
+    """
+    runs: collections.Counter[str] = collections.Counter()
+    outcomes = _Outcomes()
+    async with _system(runs) as system:
+        address = system.url.removeprefix("http://")
+        callers = [
+            asyncio.create_task(_call_repeatedly(address, f"c{n}", outcomes))
+            for n in range(_CALLERS)
+        ]
+        await asyncio.sleep(0.3)
+        await system.gateway.stop()
+        await asyncio.gather(*callers)
+    assert set(outcomes.statuses) == {200, 503}
+    assert outcomes.statuses[200] == sum(runs.values())
+    assert [a for a in outcomes.unanswered if runs[a]] == []
+    # One crossing per connection at most.
+    assert len(outcomes.unanswered) <= _CALLERS
+
+
+async def test_pipelined_requests_in_a_stop_run_only_if_answered() -> None:
+    """The connection closes after an answer in a stop; later requests wait.
+
+    They must not run, since the caller sends them again elsewhere.
+    """
+    runs: collections.Counter[str] = collections.Counter()
+    async with _system(runs) as system:
+        host, _, port = system.url.removeprefix("http://").rpartition(":")
+        stopping = asyncio.create_task(system.gateway.stop())
+        await asyncio.sleep(0.1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"".join(_request(f"p-{n}") for n in range(3)))
+        status, is_open = await _read_answer(reader)
+        rest = await reader.read()
+        writer.close()
+        await stopping
+    assert (status, is_open, rest) == (200, False, b"")
+    assert runs == {"p-0": 1}
+
+
+@pytest.mark.parametrize("rest_after_s", [0.5, _ACCEPT_S + 0.3])
+async def test_body_that_arrives_during_a_stop_is_served(
+    rest_after_s: float,
+) -> None:
+    """A request that began in time must be served when its body is complete."""
+    runs: collections.Counter[str] = collections.Counter()
+    async with _system(runs) as system:
+        host, _, port = system.url.removeprefix("http://").rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = _request("b-0", "/order/x").replace(b"GET", b"POST")
+        head = head[:-2] + b"Content-Length: 8\r\n\r\n"
+        stopping = asyncio.create_task(system.gateway.stop())
+        await asyncio.sleep(0.1)
+        writer.write(head + b"1234")
+        await asyncio.sleep(rest_after_s)
+        writer.write(b"5678")
+        status, _ = await _read_answer(reader)
+        writer.close()
+        await stopping
+    assert (status, runs) == (200, {"b-0": 1})
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+async def test_stop_during_the_start_ends_in_time(
+    signals: int, tmp_path: pathlib.Path
+) -> None:
+    """A process that can't reach the store must end after SIGTERM, also two."""
+    path = tmp_path / "gateway.yaml"
+    listen = {
+        name: f"127.0.0.1:{free_ports.free_port(adjacent=2)}"
+        for name in ("callers", "ready", "metrics", "peers")
+    }
+    path.write_text(
+        yaml.safe_dump(
+            {
+                "process": {"name": "router-1"},
+                "listen": listen,
+                "store": f"127.0.0.1:{free_ports.free_port()}",
+                "grace_s": 2.0,
+            }
+        )
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "hibiscuspass.gateway.main",
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "HIBISCUSPASS_CONFIG": str(path)},
+    )
+    assert process.stdout is not None
+    try:
+        async with asyncio.timeout(20.0):
+            while (
+                json.loads(await process.stdout.readline())["event"]
+                != "started"
+            ):
+                pass
+        async with asyncio.timeout(2.0 + 1.0):
+            for _ in range(signals):
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.1)
+            await process.stdout.read()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
