Bound the age of records more tightly after a loss of all routers

Three causes:

* The start of a process counted from when it joined the fleet, 0.5 s and more after it began.
* A record told the times of the last two writes.
Holders that draw several times a second knew nothing of revisions before that.
Records now repeat up to eight earlier writes, at least 0.4 s apart.
* VMs of half a core start up to 1.1 s after the others; evidence is now awaited for 2 s instead of 1.2 s.

--- a/hibiscuspass/core/prepaid/ledger_view.py
+++ b/hibiscuspass/core/prepaid/ledger_view.py
@@ -1,6 +1,7 @@
 """Tokens that one router drew, including writes of unknown outcome."""
 
 from collections.abc import Mapping
+import math
 
 import attrs
 import msgspec
@@ -10,6 +11,11 @@
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import usage_limit
 
+# Confirmed writes that each record repeats, and the shortest time between two
+# of them. Together they cover the time for which limits apply.
+_EARLIER_WRITES = 8
+_EARLIER_WRITE_SPACING_MS = 400
+
 
 @attrs.frozen
 class Transaction:
@@ -94,6 +100,7 @@
         self._totals: dict[str, _Total] = {}
         # Tokens of returns that may still take effect, by workspace.
         self._uncertain_returns: dict[str, int] = {}
+        self._earlier_writes: list[tuple[int, int]] = []
 
     def drawn(self, workspace: str) -> int:
         """Returns the tokens that certainly belong to this router."""
@@ -173,6 +180,7 @@
             seen_revision=stamp.seen_revision,
             previous_revision=self._own_revision if previous else 0,
             previous_ms=previous.wall_ms if previous else 0,
+            earlier_writes=list(self._earlier_writes),
         )
 
     def on_unknown(self) -> None:
@@ -182,6 +190,7 @@
     def on_committed(self, txn: Transaction, revision: int) -> None:
         """Applies a confirmed write, after which no earlier one can succeed."""
         self._update_seen_revision(revision)
+        self._add_earlier_write()
         self.usage_limits.on_confirmed(txn.limits)
         self._own_drawn = dict(txn.drawn)
         self._own_revision = revision
@@ -191,6 +200,17 @@
             total.drawn += delta
             total.revision = revision
 
+    def _add_earlier_write(self) -> None:
+        """Adds the confirmed record, which another one is about to replace."""
+        stamp = self.usage_limits.confirmed_stamp
+        if stamp is None:
+            return
+        writes = self._earlier_writes
+        since_ms = abs(stamp.wall_ms - writes[-1][1]) if writes else math.inf
+        if since_ms >= _EARLIER_WRITE_SPACING_MS:
+            writes.append((self._own_revision, stamp.wall_ms))
+            del writes[:-_EARLIER_WRITES]
+
     def on_not_done(self, txn: Transaction) -> None:
         """Reverts a planned write that certainly has no effect."""
         self.usage_limits.on_not_done()
--- a/hibiscuspass/core/prepaid/store_record.py
+++ b/hibiscuspass/core/prepaid/store_record.py
@@ -42,6 +42,8 @@
       seen_revision: Newest revision of the store known at that time.
       previous_revision: Revision of the previous record of the process.
       previous_ms: Wall clock time of the send of the previous record.
+      earlier_writes: Revisions and wall clock times of the sends of some
+        records before that, oldest first.
     """
 
     address: str
@@ -54,6 +56,7 @@
     seen_revision: int = 0
     previous_revision: int = 0
     previous_ms: int = 0
+    earlier_writes: list[tuple[int, int]] = []
 
 
 _WORKSPACE = msgspec.json.Decoder(WorkspaceRecord)
--- a/hibiscuspass/core/prepaid/takeover.py
+++ b/hibiscuspass/core/prepaid/takeover.py
@@ -103,6 +103,7 @@
         write
         for revision, record in items.items()
         for write in (
+            *((rev, ms / 1000) for rev, ms in record.earlier_writes),
             (record.previous_revision, record.previous_ms / 1000),
             (revision, record.sent_ms / 1000),
         )
--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -19,6 +19,7 @@
 from hibiscuspass.gateway import loans
 from hibiscuspass.gateway import registration as registration_lib
 from hibiscuspass.gateway import revision_age_tracker
+from hibiscuspass.gateway import start_time
 from hibiscuspass.peers import pynng_pubsub
 from hibiscuspass.peers import transport as transport_lib
 
@@ -73,11 +74,14 @@
         fleet: fleet_lib.Fleet,
         pubsub: pynng_pubsub.PynngPubSub,
         metrics: gateway_metrics.GatewayMetrics,
+        started: start_time.StartTime,
     ) -> None:
         self.accounts = accounts
         self._transport = transport
         self._fleet = fleet
-        age_tracker = revision_age_tracker.RevisionAgeTracker(transport, fleet)
+        age_tracker = revision_age_tracker.RevisionAgeTracker(
+            transport, fleet, started
+        )
         self._writer = ledger_writer.LedgerWriter(
             accounts, store, pubsub, age_tracker, metrics
         )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -36,6 +36,7 @@
 from hibiscuspass.gateway import prepaid_runtime
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import request_reader
+from hibiscuspass.gateway import start_time
 from hibiscuspass.gateway import store_followers
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.peers import pynng_pubsub
@@ -78,9 +79,13 @@
     """
 
     def __init__(
-        self, cfg: settings_lib.GatewaySettings, store: txn_store.TxnStore
+        self,
+        cfg: settings_lib.GatewaySettings,
+        store: txn_store.TxnStore,
+        started: start_time.StartTime,
     ) -> None:
         self._cfg = cfg
+        self._started = started
         self.process = incarnation.Incarnation(
             cfg.process.name, os.urandom(6).hex()
         )
@@ -227,6 +232,7 @@
             self._fleet,
             self._pubsub,
             self._metrics,
+            self._started,
         )
         seed = int.from_bytes(
             hashlib.blake2b(str(self.process).encode(), digest_size=8).digest()
--- a/hibiscuspass/gateway/revision_age_tracker.py
+++ b/hibiscuspass/gateway/revision_age_tracker.py
@@ -17,6 +17,7 @@
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import takeover
 from hibiscuspass.gateway import fleet as fleet_lib
+from hibiscuspass.gateway import start_time
 from hibiscuspass.peers import transport as transport_lib
 
 _log = structlog.get_logger(__name__)
@@ -24,17 +25,12 @@
 _REQUEST_TIMEOUT_S = 0.3
 # If all routers were lost, the peers start at about the same time and answer
 # only after their own start, so the question is repeated for this long.
-_MAX_WAIT_S = 1.2
+_MAX_WAIT_S = 2.0
 _RETRY_INTERVAL_S = 0.2
 # One exact answer is enough, so only some peers are asked.
 _MAX_PEERS = 12
 
 
-def _boot_time_s() -> float:
-    """Returns the boot time, which also advances while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class RevisionAgeTracker:
     """Records when this router wrote to the store, and asks peers about theirs.
 
@@ -43,19 +39,21 @@
     """
 
     def __init__(
-        self, transport: transport_lib.Transport, fleet: fleet_lib.Fleet
+        self,
+        transport: transport_lib.Transport,
+        fleet: fleet_lib.Fleet,
+        started: start_time.StartTime,
     ) -> None:
         self._transport = transport
         self._fleet = fleet
-        self._started_s = _boot_time_s()
-        self._started_wall_s = time.time()
+        self._started = started
         self._writes = takeover.WriteHistory()
         self._earlier_writes = takeover.WriteHistory()
         transport.register(messages.AskAge, self._handle_age_request)
 
     def now(self) -> float:
         """Returns the present time on the clock that `record_write` expects."""
-        return _boot_time_s()
+        return start_time.boot_time_s()
 
     def record_write(self, revision: int, sent_s: float) -> None:
         """Records a confirmed write of this router.
@@ -93,15 +91,15 @@
         Returns:
           Age in seconds; None if there is not enough evidence.
         """
-        own_s = self._started_wall_s - record.sent_ms / 1000
-        deadline_s = _boot_time_s() + _MAX_WAIT_S
+        own_s = self._started.wall_s - record.sent_ms / 1000
+        deadline_s = start_time.boot_time_s() + _MAX_WAIT_S
         while True:
             evidence = await self._collect_evidence(
                 record.seen_revision, writers
             )
             peers = len(self._fleet.peers())
             bound = takeover.age_bound(own_s, evidence, peers)
-            if bound is not None or _boot_time_s() >= deadline_s:
+            if bound is not None or start_time.boot_time_s() >= deadline_s:
                 break
             await asyncio.sleep(_RETRY_INTERVAL_S)
         _log.info(
@@ -124,7 +122,7 @@
         # since then is not part of the age. It is measured before the request:
         # a pause before the answers are read would make it too long, and the
         # ages too small.
-        since_start_s = _boot_time_s() - self._started_s
+        since_start_s = start_time.boot_time_s() - self._started.boot_s
         replies = await asyncio.gather(
             *(
                 self._transport.request(
@@ -150,7 +148,9 @@
     ) -> messages.Age:
         sent_s = self._writes.sent_before(msg.revision)
         if sent_s is not None:
-            return messages.Age(_boot_time_s() - sent_s, is_exact=True)
+            return messages.Age(
+                start_time.boot_time_s() - sent_s, is_exact=True
+            )
         sent_s = self._earlier_writes.sent_before(msg.revision)
         if sent_s is not None:
             return messages.Age(time.time() - sent_s, is_exact=False)
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -13,6 +13,7 @@
 import yarl
 
 from hibiscuspass.gateway import process as process_lib
+from hibiscuspass.gateway import start_time
 from hibiscuspass.platform import operator_config
 from hibiscuspass.settings import gateway as settings_lib
 from tests import free_ports
@@ -222,7 +223,7 @@
             store="127.0.0.1:1",  # Not used; the process gets `store`.
             grace_s=grace_s,
         )
-        gateway = process_lib.GatewayProcess(cfg, store)
+        gateway = process_lib.GatewayProcess(cfg, store, start_time.now())
         await gateway.start()
         session = await stack.enter_async_context(aiohttp.ClientSession())
         system = System(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import member_lease
 from hibiscuspass.gateway import revision_age_tracker
+from hibiscuspass.gateway import start_time
 from tests import memory_store
 
 _OWN = incarnation.Incarnation("router-1", "1")
@@ -56,9 +57,7 @@
     clock = _Clock()
     for module in (fleet_lib, revision_age_tracker):
         monkeypatch.setattr(module.time, "monotonic", lambda: clock.now_s)
-    monkeypatch.setattr(
-        revision_age_tracker, "_boot_time_s", lambda: clock.now_s
-    )
+    monkeypatch.setattr(start_time, "boot_time_s", lambda: clock.now_s)
     return clock
 
 
@@ -191,7 +190,9 @@
 
 def _age_tracker(fleet: fleet_lib.Fleet, *replies: object):
     transport = _Transport(*replies)
-    age_tracker = revision_age_tracker.RevisionAgeTracker(transport, fleet)
+    age_tracker = revision_age_tracker.RevisionAgeTracker(
+        transport, fleet, start_time.now()
+    )
     return age_tracker, transport.handlers[messages.AskAge]
 
 
@@ -266,7 +267,7 @@
         pubsub.handlers[liveness.Alive](writer, liveness.Alive(address))
         ages[address] = messages.Age(2.0 + number / 10, False)
     age_tracker = revision_age_tracker.RevisionAgeTracker(
-        _AgesByAddress(ages), fleet
+        _AgesByAddress(ages), fleet, start_time.now()
     )
     record = store_record.RouterRecord(
         "h:1",
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,8 +3,10 @@
 import attrs
 import pytest
 
+from hibiscuspass.core import incarnation
 from hibiscuspass.core.prepaid import draw_policy
 from hibiscuspass.core.prepaid import holders
+from hibiscuspass.core.prepaid import ledger_view
 from hibiscuspass.core.prepaid import store_record
 from hibiscuspass.core.prepaid import takeover
 from hibiscuspass.core.prepaid import usage_limit
@@ -89,6 +91,27 @@
     assert history.sent_before(60) == 9.0
 
 
+def test_history_reaches_back_beyond_a_burst_of_draws() -> None:
+    """A holder that wrote often just before a loss must bound earlier ages.
+
+    With the last two writes alone, most holders of a large fleet did not know
+    how old the records of the others were.
+    """
+    view = ledger_view.LedgerView(incarnation.Incarnation("r", "1"), "h:1")
+    for revision in range(1, 41):
+        now_s = revision / 10
+        limits = ledger_view.Limits({}, 3.5, now_s, round(1000 * now_s))
+        txn = view.plan({}, {}, {}, limits)
+        view.on_committed(txn, revision)
+    (value,) = txn.writes.values()
+    assert len(value) < 500
+    history = takeover.history_of({40: store_record.decode_router(value)})
+    for revision in range(15, 41):
+        sent_s = history.sent_before(revision)
+        assert sent_s is not None
+        assert 0.0 <= revision / 10 - sent_s < 0.5
+
+
 @pytest.mark.parametrize("routers", [1, 9, 62, 300])
 def test_limits_outlast_a_restart(routers: int) -> None:
     """Limits must outlast two write intervals and a restart.
