Draw the last undrawn tokens although a request needs more

Load: the end of a prepaid amount in a fleet in which five holders draw.

A draw now takes the rest, which may serve the request together with loans.

--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -155,7 +155,10 @@
 
 
 def urgent_draw(state: WorkspaceState, tokens: int, cfg: DrawConfig) -> int:
-    """Returns the draw for a request; 0 if it is useless or not needed.
+    """Returns the draw for a request; 0 if none is needed or possible.
+
+    If the undrawn tokens don't cover the request, all of them are drawn, since
+    they may do so together with loans.
 
     Args:
       state: State of the workspace.
@@ -163,7 +166,7 @@
       cfg: Parameters of the policy.
     """
     missing = tokens - state.available
-    if not 0 < missing <= state.undrawn:
+    if missing <= 0:
         return 0
     share = state.undrawn // (2 * max(1, state.routers))
     ahead = max(target_tokens(state, cfg) - state.available, 0)
