--- a/tests/backend_fakes.py
+++ b/tests/backend_fakes.py
@@ -184,7 +184,8 @@
             return kv_store.CasResult(False, 0, current)
         self.revision += 1
         if value is None:
-            del self.entries[key]
+            # As in the service, an absent key can be deleted.
+            self.entries.pop(key, None)
         else:
             self.entries[key] = kv_store.KeyValue(key, value, self.revision)
         return kv_store.CasResult(True, self.revision)
