Follow the usage of a new fleet from its first requests

Load: an outage of the store seconds after the first requests. The moving average began at the assumed rate, about half of the real one, and had reached three quarters of it. Borrowers that kept tokens had covered this until now.

The average now divides the decayed tokens by the decayed time in which they were used; the assumption counts for 3 s.

--- a/hibiscuspass/core/prepaid/draw_policy.py
+++ b/hibiscuspass/core/prepaid/draw_policy.py
@@ -11,6 +11,9 @@
 
 import attrs
 
+# Usage in seconds that the initial estimate of a rate counts for.
+_INITIAL_WEIGHT_S = 3.0
+
 
 @attrs.frozen
 class DrawConfig:
@@ -48,10 +51,13 @@
 
 
 class UsageRate:
-    """Exponentially decaying estimate of the tokens used per second.
+    """Exponentially weighted estimate of the tokens used per second.
 
-    The initial estimate stays until tokens are used, since routers of a new
-    fleet draw tokens some time before its first requests.
+    The sum of the used tokens and the time in which they were used decay
+    alike, so that the estimate follows the first requests of a new fleet within
+    seconds. The initial estimate counts as `_INITIAL_WEIGHT_S` of usage. It
+    stays until tokens are used, since routers of a new fleet draw tokens some
+    time before its first requests.
 
     Attributes:
       is_measured: Whether tokens were used, so that the rate is no assumption.
@@ -60,28 +66,33 @@
     def __init__(
         self, time_constant_s: float, now_s: float, initial_per_s: float
     ) -> None:
+        self.is_measured = False
         self._time_constant_s = time_constant_s
         self._updated_s = now_s
-        self._rate = initial_per_s
-        self.is_measured = False
+        self._weight_s = _INITIAL_WEIGHT_S
+        self._tokens = initial_per_s * _INITIAL_WEIGHT_S
 
     def add(self, tokens: int, now_s: float) -> None:
         """Records used tokens; a negative number corrects earlier calls."""
         self._decay(now_s)
         self.is_measured = True
-        self._rate += tokens / self._time_constant_s
+        self._tokens += tokens
 
     def per_s(self, now_s: float) -> float:
         """Returns the current rate."""
         self._decay(now_s)
-        return max(0.0, self._rate)
+        return max(0.0, self._tokens / self._weight_s)
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = max(self._updated_s, now_s)
         if not self.is_measured:
             return
-        self._rate *= math.exp(-elapsed_s / self._time_constant_s)
+        kept = math.exp(-elapsed_s / self._time_constant_s)
+        self._tokens *= kept
+        self._weight_s = (
+            kept * self._weight_s + (1.0 - kept) * self._time_constant_s
+        )
 
 
 @attrs.frozen
--- a/tests/test_draw_policy.py
+++ b/tests/test_draw_policy.py
@@ -71,6 +71,23 @@
     assert least <= drawn <= most
 
 
+@pytest.mark.parametrize("initial_per_s", [0.0, 500.0, 5000.0])
+def test_usage_rate_follows_the_first_requests(initial_per_s: float) -> None:
+    """Tokens for an outage 6 s after the first request must last through it.
+
+    An average that began at half of the real rate had reached three quarters
+    of it by then, and the tokens of the busiest workspace ended after 8 s.
+    """
+    rate = draw_policy.UsageRate(10.0, 0.0, initial_per_s)
+    assert rate.per_s(12.0) == initial_per_s
+    for step in range(61):
+        rate.add(100, 12.0 + step / 10)
+    assert 600.0 <= rate.per_s(18.0) <= 2400.0
+    for step in range(61, 400):
+        rate.add(100, 12.0 + step / 10)
+    assert rate.per_s(52.0) == pytest.approx(1000.0, rel=0.05)
+
+
 def _accounts(name: str = "router-1") -> accounts_lib.PrepaidAccounts:
     accounts = accounts_lib.PrepaidAccounts(
         incarnation.Incarnation(name, "1"), "10.0.0.1:7000", _CFG
