--- a/hibiscuspass/peers/request_transport.py
+++ b/hibiscuspass/peers/request_transport.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import os
 import time
 from typing import Any
 
+import prometheus_client
 import structlog
 
 from hibiscuspass.core import incarnation
@@ -306,3 +308,64 @@
     return refusal.Refusal(
         reason_lib.Reason.UNAVAILABLE, f"peer {address}: {detail}"
     )
+
+
+def make_transport(
+    process: incarnation.Incarnation,
+    listen: str,
+    fleet_key: bytes,
+    recorder: recorder_lib.Recorder,
+    *,
+    make_link: Callable[[str, int], link_lib.Link],
+    make_server: Callable[[str, int, int], link_lib.Server],
+    message_types: Iterable[type] = (),
+    registry: codec_lib.Registry | None = None,
+    max_message_bytes: int = codec_lib.DEFAULT_MAX_MESSAGE_BYTES,
+    max_handlers: int = DEFAULT_MAX_HANDLERS,
+    idle_close_s: float = DEFAULT_IDLE_CLOSE_S,
+    metrics_registry: prometheus_client.CollectorRegistry | None = None,
+    monotonic_s: Callable[[], float] = time.monotonic,
+) -> RequestTransport:
+    """Returns the peer transport of one process.
+
+    Args:
+      process: Identity of this process.
+      listen: `host:port` to listen on; port 0 selects a free port.
+      fleet_key: Key of at least 32 bytes that all processes share.
+      recorder: Source of the timestamps in envelopes.
+      make_link: Creates a link, which is not connected yet, from the address of
+        a peer and the maximum size of a message in bytes.
+      make_server: Creates the server side from the address to listen on, the
+        maximum size of a message and the maximum number of handlers.
+      message_types: Types without a handler in this process, which it sends
+        or receives as replies.
+      registry: Message registry, by default `codec.DEFAULT`.
+      max_message_bytes: Maximum size of a message in both directions.
+      max_handlers: Maximum number of requests handled concurrently; further
+        requests wait in the buffers of the sockets.
+      idle_close_s: Idle time in seconds after which a link is closed.
+      metrics_registry: Registry of the metrics, by default a private one.
+      monotonic_s: Monotonic clock for deadlines and idle links, in seconds.
+
+    Raises:
+      ValueError: The key is too short or a message name is used twice.
+    """
+    codec = codec_lib.Codec(
+        process,
+        fleet_key,
+        registry=registry or codec_lib.DEFAULT,
+        max_message_bytes=max_message_bytes,
+    )
+    for msg_type in message_types:
+        codec.registry.add(msg_type)
+    return RequestTransport(
+        codec,
+        process,
+        listen,
+        recorder,
+        peer_metrics.PeerMetrics(metrics_registry),
+        lambda address: make_link(address, max_message_bytes),
+        make_server(listen, max_message_bytes, max_handlers),
+        idle_close_s=idle_close_s,
+        monotonic_s=monotonic_s,
+    )
