Take the address of a holder before tokens are returned to it

Found when reading the diff: the address was looked up when each message was sent. If the failure of one message removed another holder from the live peers, the lookup raised KeyError, which ends the process. Test: a return to a lost holder leaves the process running (it covers the failed message, not the order of tasks).

--- a/hibiscuspass/gateway/loans.py
+++ b/hibiscuspass/gateway/loans.py
@@ -110,17 +110,23 @@
         workspaces = self._lending.surplus_workspaces(now_s)
         if not workspaces:
             return
+        addresses = self._fleet.addresses_by_name()
         loans = self._lending.return_loans(
             workspaces, self._fleet.processes_by_name(), now_s
         )
         await asyncio.gather(
-            *(self._return(process, loan) for process, loan in loans.items())
+            *(
+                self._return(holder, addresses[holder.name], loan)
+                for holder, loan in loans.items()
+            )
         )
 
     async def _return(
-        self, holder: incarnation.Incarnation, loan: messages.Lent
+        self,
+        holder: incarnation.Incarnation,
+        address: str,
+        loan: messages.Lent,
     ) -> None:
-        address = self._fleet.addresses_by_name()[holder.name]
         reply = await self._transport.request(
             address, loan, timeout_s=_TIMEOUT_S
         )
--- a/tests/test_loans.py
+++ b/tests/test_loans.py
@@ -41,6 +41,9 @@
     def addresses_by_name(self) -> dict[str, str]:
         return {name: name for name in _NAMES}
 
+    def processes_by_name(self) -> dict[str, incarnation.Incarnation]:
+        return {name: incarnation.Incarnation(name, "1") for name in _NAMES}
+
     async def request(
         self, address: str, msg: messages.Borrow, *, timeout_s: float
     ) -> messages.Lent | refusal.Refusal:
@@ -199,6 +202,29 @@
     assert before > 0
 
 
+async def test_return_to_a_holder_that_is_lost_meanwhile() -> None:
+    """A failed return must not end the process; the next one repeats it."""
+    peers = _Peers({}, lost=frozenset(_HOLDERS))
+    loans, accounts = _loans(peers)
+    for name in _HOLDERS[:2]:
+        lender = _accounts(name)
+        lender.ledger.on_committed(
+            ledger_view.Transaction({}, {}, {}, {_WORKSPACE: 900}), 1
+        )
+        lender.sync_drawn(0.0)
+        lending = lending_lib.Lending(
+            lender, incarnation.Incarnation(name, "1"), name
+        )
+        ask = messages.Borrow(_WORKSPACE, 900, 900, 1)
+        loans.receive(
+            lending.lend(incarnation.Incarnation(_OWN, "1"), ask, 0.0)
+        )
+    await loans.return_unused()
+    assert accounts.available(_WORKSPACE) == 0
+    assert peers.failures == peers.asked
+    assert len(peers.asked) == 1
+
+
 def test_first_loan_is_no_larger_than_the_request() -> None:
     """An assumed rate of use must not make a router borrow more.
 
