--- a/tests/prepaid_simulation.py
+++ b/tests/prepaid_simulation.py
@@ -18,32 +18,9 @@
 from hibiscuspass.core.prepaid import takeover
 from hibiscuspass.core.prepaid import workspace_usage as usage_lib
 from tests import memory_store
+from tests import prepaid_steps
 
 WORKSPACES = ("printer", "press")
-_STEPS = (
-    ("hold", 8),
-    ("settle", 6),
-    ("draw", 4),
-    ("return", 1.0),
-    ("lost_draw", 2),
-    ("lost_return", 2),
-    ("late_return", 2),
-    ("deliver", 2),
-    ("borrow", 3),
-    ("late_loan", 2),
-    ("kill", 0.5),
-    ("top_up", 0.4),
-    ("lower", 0.2),
-    ("wait", 3),
-    ("renew", 5),
-    ("lost_renewal", 3),
-    ("outage", 0.2),
-    ("crash", 1.5),
-)
-# Steps that have an effect only if usage limits are written.
-_LIMIT_STEPS = frozenset({"renew", "lost_renewal", "outage", "crash"})
-# Steps of fleets in which some routers draw no tokens.
-_LOAN_STEPS = (("return_loans", 6),)
 # Shortest time from the end of a router to its next process, in seconds.
 _RESTART_S = 0.5
 
@@ -117,16 +94,11 @@
 
     def run(self, steps: int) -> None:
         """Runs random steps and checks after each one."""
-        steps_of_size = _STEPS
-        if holders.has_borrowers(self._size):
-            steps_of_size += _LOAN_STEPS
-        chosen = [
-            (name, weight)
-            for name, weight in steps_of_size
-            if self._writes_limits or name not in _LIMIT_STEPS
-        ]
-        names = [name for name, _ in chosen]
-        weights = [weight for _, weight in chosen]
+        chosen = prepaid_steps.weights(
+            writes_limits=self._writes_limits,
+            has_borrowers=holders.has_borrowers(self._size),
+        )
+        names, weights = list(chosen), list(chosen.values())
         for name in self.rng.choices(names, weights, k=steps):
             getattr(self, f"_{name}")()
             self.check(name)
