Take only complete answers for proof of sound prompts

Cause: the first event of an answer counted as proof that its prompt doesn't crash engines, and an answer that broke off after it wasn't reported. So the part was both never reported and proven sound by each request with it.

core/forwarding/prompt_trial.py now decides what an answer shows: complete with a length or chunks, or two seconds of events: sound; broken off: lost; ended with its connection only: ambiguous until the engine is probed. Related paths: resumed runs, answers without framing.

--- a/hibiscuspass/core/forwarding/crash_reports.py
+++ b/hibiscuspass/core/forwarding/crash_reports.py
@@ -5,7 +5,7 @@
 any router and share their other parts with sound requests. A crash ends all
 requests on its engine, so each of them is reported. Only the part that causes
 the crashes, and parts that came with it each time, are reported for several
-engines while answers to other prompts begin.
+engines while other prompts are answered.
 """
 
 import collections
@@ -36,8 +36,8 @@
 
     Attributes:
       part_id: Id of the part.
-      since_s: Time of the first of these crashes. An answer to a prompt with
-        the part that has begun since then shows that it is not the cause.
+      since_s: Time of the first of these crashes. The part is not the cause if
+        an engine has answered a prompt with it since then.
       crashes: Number of these crashes.
       lost_requests: Requests with any parts that were lost since then.
       lost_parts: Parts that were lost and have not been shown to be sound.
@@ -57,7 +57,7 @@
         distribution.
 
         Args:
-          answers: Answers with any parts that have begun since the first crash.
+          answers: Answers to prompts with any parts since the first crash.
         """
         others = max(0, self.lost_requests - self.crashes)
         return self.lost_parts * math.prod(
--- a/hibiscuspass/core/forwarding/proven_parts.py
+++ b/hibiscuspass/core/forwarding/proven_parts.py
@@ -1,4 +1,4 @@
-"""Prompt parts with which engines have begun answers."""
+"""Prompt parts that do not crash engines."""
 
 import collections
 from collections.abc import Iterable
@@ -12,8 +12,8 @@
 class ProvenParts:
     """Times at which parts were last shown not to crash engines.
 
-    An engine that has begun an answer has not crashed on the prompt. All times
-    are seconds of a monotonic clock.
+    See `prompt_trial` for what shows it. All times are seconds of a monotonic
+    clock.
     """
 
     def __init__(self) -> None:
@@ -24,8 +24,8 @@
             maxlen=_MAX_ANSWERS
         )
 
-    def on_first_event(self, part_ids: Iterable[str], now_s: float) -> None:
-        """Records the first event of the answer to a prompt."""
+    def add(self, part_ids: Iterable[str], now_s: float) -> None:
+        """Records an answer that shows that its prompt is sound."""
         self._answers_s.append(now_s)
         for part_id in part_ids:
             self._proven_s[part_id] = now_s
@@ -34,9 +34,9 @@
             self._proven_s.popitem(last=False)
 
     def is_proven_since(self, part_id: str, since_s: float) -> bool:
-        """Returns whether an answer has begun at or after a time."""
+        """Returns whether an answer has shown it at or after a time."""
         return self._proven_s.get(part_id, float("-inf")) >= since_s
 
     def answers_since(self, since_s: float) -> int:
-        """Returns how many answers have begun since a time, up to a limit."""
+        """Returns the number of answers since a time, up to a limit."""
         return sum(at_s >= since_s for at_s in self._answers_s)
--- a/hibiscuspass/gateway/crash_coordinator.py
+++ b/hibiscuspass/gateway/crash_coordinator.py
@@ -2,7 +2,7 @@
 
 Two routers of the fleet collect all reports, so that each sees what the others
 have lost. Each of them decides by itself. The parts that may be the cause are
-shown to all routers; those with which no engine has begun an answer since the
+shown to all routers; those to which no engine has given an answer since the
 first crash are put in quarantine.
 """
 
@@ -26,7 +26,7 @@
 _log = structlog.get_logger(__name__)
 
 _TIMEOUT_S = 0.5
-# Intervals at which routers are asked again until enough answers have begun.
+# Intervals at which routers are asked again until there are enough answers.
 _MIN_DECISION_INTERVAL_S = 0.2
 _MAX_DECISION_INTERVAL_S = 2.0
 # Announcements are repeated to routers that did not confirm them. Later they
--- a/hibiscuspass/gateway/crash_reporter.py
+++ b/hibiscuspass/gateway/crash_reporter.py
@@ -1,6 +1,7 @@
 """Reports requests that were lost because their engine crashed."""
 
 import asyncio
+import enum
 import time
 
 import attrs
@@ -29,10 +30,17 @@
 
 @attrs.frozen
 class _Lost:
-    """A request whose answer did not begin before its connection ended."""
+    """A request whose engine may have crashed.
+
+    Attributes:
+      backend: Engine that ended the connection.
+      part_ids: Shared parts of the prompt that may be the cause.
+      may_be_complete: Whether the engine may have ended its answer in order.
+    """
 
     backend: backend_lib.Backend
     part_ids: list[str]
+    may_be_complete: bool
 
 
 class CrashReporter:
@@ -59,13 +67,17 @@
         req: request_lib.ForwardRequest,
         backend: backend_lib.Backend,
         sent_s: float,
+        *,
+        may_be_complete: bool,
     ) -> None:
-        """Records a request whose answer did not begin.
+        """Records a request whose connection an engine ended.
 
         Args:
           req: Request of a caller.
           backend: Engine that ended the connection.
           sent_s: Time of the send on the monotonic clock.
+          may_be_complete: Whether the engine may have ended its answer in
+            order. If it accepts connections, its prompt is sound.
         """
         # The last part belongs to this request or its session only.
         part_ids = [
@@ -75,7 +87,7 @@
         ]
         if not part_ids:
             return
-        self._lost.append(_Lost(backend, part_ids))
+        self._lost.append(_Lost(backend, part_ids, may_be_complete))
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._report())
 
@@ -89,14 +101,20 @@
             await asyncio.sleep(_GATHER_S)
             lost, self._lost = self._lost, []
             backends = {item.backend.instance: item.backend for item in lost}
-            crashed = await asyncio.gather(
-                *(_refuses_connections(b) for b in backends.values())
+            states = dict(
+                zip(
+                    backends,
+                    await asyncio.gather(
+                        *(_probe(b) for b in backends.values())
+                    ),
+                    strict=True,
+                )
             )
-            instances = {
-                instance
-                for instance, has_crashed in zip(backends, crashed, strict=True)
-                if has_crashed
-            }
+            for item in lost:
+                state = states[item.backend.instance]
+                if item.may_be_complete and state is _State.LISTENING:
+                    self._proven.add(item.part_ids, time.monotonic())
+            instances = {i for i, s in states.items() if s is _State.CRASHED}
             for instance in instances:
                 self._ejection.eject(instance, time.monotonic())
             reported = [i for i in lost if i.backend.instance in instances]
@@ -143,21 +161,30 @@
         return sorted(names, key=_rank)[:_COORDINATORS]
 
 
-async def _refuses_connections(backend: backend_lib.Backend) -> bool:
-    """Returns whether nothing listens at the address of an engine.
+class _State(enum.Enum):
+    """State of an engine as seen by a new connection."""
+
+    LISTENING = enum.auto()
+    CRASHED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+async def _probe(backend: backend_lib.Backend) -> _State:
+    """Returns whether an engine accepts connections.
 
-    An engine that only lost an answer or a connection accepts another one.
+    One that only lost an answer or a connection does. Nothing listens at the
+    address of one that has crashed.
     """
     host, _, port = backend.address.rpartition(":")
     try:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return _State.CRASHED
     except (OSError, TimeoutError):
-        return False
+        return _State.UNKNOWN
     writer.close()
-    return False
+    return _State.LISTENING
 
 
 def _rank(name: str) -> int:
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from hibiscuspass.core.forwarding import backend_selector as selector_lib
 from hibiscuspass.core.forwarding import backend_selectors as selectors_lib
 from hibiscuspass.core.forwarding import progress
+from hibiscuspass.core.forwarding import prompt_trial
 from hibiscuspass.core.forwarding import repeat_budget
 from hibiscuspass.core.forwarding import retry_on_failure
 from hibiscuspass.core.forwarding import route as route_lib
@@ -195,7 +196,6 @@
 
     def on_first_event(self, call: call_lib.Call, answer: Answer) -> None:
         """Records the first event of an answer."""
-        self._guard.on_first_event(call.req)
         now_s = time.monotonic()
         self._selectors.of(answer.service).on_first_event(
             answer.choice, now_s - answer.sent_s, now_s
@@ -208,9 +208,22 @@
                 self._chooser.ready_count(answer.service),
             )
 
-    def on_broken(self, call: call_lib.Call, answer: Answer) -> None:
-        """Records that an answer broke off before its first event."""
-        self._guard.on_lost(call.req, answer.choice.backend, answer.sent_s)
+    def on_finding(
+        self,
+        call: call_lib.Call,
+        answer: Answer,
+        finding: prompt_trial.Finding,
+    ) -> None:
+        """Records what an answer shows about its prompt."""
+        if finding is prompt_trial.Finding.SOUND:
+            self._guard.on_sound(call.req)
+            return
+        self._guard.on_lost(
+            call.req,
+            answer.choice.backend,
+            answer.sent_s,
+            may_be_complete=finding is prompt_trial.Finding.AMBIGUOUS,
+        )
 
     def on_ended(self, answer: Answer, *, succeeded: bool) -> None:
         """Records the end of an answer."""
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from hibiscuspass.core import run_state
 from hibiscuspass.core.forwarding import attempts as attempts_lib
 from hibiscuspass.core.forwarding import progress
+from hibiscuspass.core.forwarding import prompt_trial
 from hibiscuspass.core.prepaid import workspace_usage as usage_lib
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import dispatch as dispatch_lib
@@ -19,6 +20,7 @@
 from hibiscuspass.gateway import prompt_guard
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import relay as relay_lib
+from hibiscuspass.gateway import upstream_protocol
 
 _log = structlog.get_logger(__name__)
 
@@ -131,17 +133,20 @@
         attempts: attempts_lib.Attempts,
     ) -> str | None:
         """Relays one answer; returns why it broke off, or None."""
-        has_begun = False
+        trial = prompt_trial.PromptTrial()
 
-        def on_first_event() -> None:
-            nonlocal has_begun
-            has_begun = True
-            self._dispatcher.on_first_event(call, answer)
+        def on_event(now_s: float) -> None:
+            if not trial.has_begun:
+                self._dispatcher.on_first_event(call, answer)
+            if trial.on_event(now_s):
+                self._dispatcher.on_finding(
+                    call, answer, prompt_trial.Finding.SOUND
+                )
 
         try:
             failure = await relay.copy(
                 answer.resp,
-                on_first_event,
+                on_event,
                 progress.ProgressWatch(
                     call.route, answer.choice.expected_s, answer.sent_s
                 ),
@@ -158,8 +163,12 @@
             self._dispatcher.on_ended(answer, succeeded=True)
             raise
         self._dispatcher.on_ended(answer, succeeded=failure is None)
-        if failure is not None and not has_begun:
-            self._dispatcher.on_broken(call, answer)
+        finding = trial.on_end(
+            is_complete=failure is None,
+            has_framing=upstream_protocol.has_framing(answer.resp),
+        )
+        if finding:
+            self._dispatcher.on_finding(call, answer, finding)
         return failure
 
     def _on_timeout(
--- a/hibiscuspass/gateway/prompt_guard.py
+++ b/hibiscuspass/gateway/prompt_guard.py
@@ -59,9 +59,9 @@
             retry_after_s=_RETRY_AFTER_S,
         )
 
-    def on_first_event(self, req: request_lib.ForwardRequest) -> None:
-        """Records that an engine has begun to answer a request."""
-        self._proven.on_first_event(
+    def on_sound(self, req: request_lib.ForwardRequest) -> None:
+        """Records that an engine has not crashed on a request."""
+        self._proven.add(
             (part.part_id for part in req.prompt_parts), time.monotonic()
         )
 
@@ -70,9 +70,13 @@
         req: request_lib.ForwardRequest,
         backend: backend_lib.Backend,
         sent_s: float,
+        *,
+        may_be_complete: bool = False,
     ) -> None:
-        """Records that a connection ended before the answer began."""
-        self._reporter.on_lost(req, backend, sent_s)
+        """Records that a connection ended; see `CrashReporter.on_lost`."""
+        self._reporter.on_lost(
+            req, backend, sent_s, may_be_complete=may_be_complete
+        )
 
     def close(self) -> None:
         """Stops all work."""
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -54,7 +54,7 @@
         self.first_event_s: float | None = None
         self.longest_pause_s = 0.0
         self._last_event_s = 0.0
-        self._on_first_event: Callable[[], None] | None = None
+        self._report_event: Callable[[float], None] | None = None
         self._http = http
         self._call = call
         self._tokens_per_event = tokens_per_event(call)
@@ -99,7 +99,7 @@
     async def copy(
         self,
         resp: aiohttp.ClientResponse,
-        on_first_event: Callable[[], None],
+        on_event: Callable[[float], None],
         watch: progress.ProgressWatch,
         may_give_up: Callable[[], bool],
     ) -> str | None:
@@ -107,7 +107,8 @@
 
         Args:
           resp: Answer whose head was read.
-          on_first_event: Called at the first complete event of this answer.
+          on_event: Called with the current monotonic time when complete events
+            of this answer have arrived.
           watch: Follows the progress of this answer.
           may_give_up: Returns whether another server can be asked now.
 
@@ -121,7 +122,7 @@
             # Its head or body would be in the middle of the caller's stream.
             resp.close()
             return f"status {resp.status} after the start of a stream"
-        self._on_first_event = on_first_event
+        self._report_event = on_event
         reader = _Reader(resp, watch, may_give_up)
         is_complete = False
         try:
@@ -228,9 +229,8 @@
         await _write(self.response, data)
 
     def _on_event(self, now_s: float) -> None:
-        if self._on_first_event:
-            self._on_first_event()
-            self._on_first_event = None
+        if self._report_event:
+            self._report_event(now_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -8,6 +8,7 @@
 
 from hibiscuspass.core.forwarding import crash_reports
 from hibiscuspass.core.forwarding import messages
+from hibiscuspass.core.forwarding import prompt_trial
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
 from hibiscuspass.core.forwarding import request as request_lib
@@ -20,18 +21,23 @@
 
 @attrs.frozen
 class _Running:
-    """A request whose answer has not begun."""
+    """A request whose answer has not ended."""
 
     engine: int
     parts: list[str]
     sent_s: float
     begins_s: float
+    ends_s: float
+    trial: prompt_trial.PromptTrial = attrs.field(
+        factory=prompt_trial.PromptTrial
+    )
 
 
 class _Load:
     """Requests that share prompt parts, at engines that crash.
 
-    Thirty requests come per second to twelve engines.
+    Thirty requests come per second to twelve engines. An engine that crashes
+    on an answer does so at its end.
 
     Attributes:
       causes: Causes that were put in quarantine.
@@ -48,6 +54,8 @@
         mass_crash_share: float = 0.0,
         max_wait_s: float = 0.6,
         mass_crash_interval_s: int = 20,
+        max_writing_s: float = 0.0,
+        long_writing_s: float = 0.0,
     ) -> None:
         self.causes: list[frozenset[str]] = []
         self.deadly_crashes = 0
@@ -59,6 +67,9 @@
         self._mass_crash_share = mass_crash_share
         self._mass_crash_interval_s = mass_crash_interval_s
         self._max_wait_s = max_wait_s
+        self._max_writing_s = max_writing_s
+        # Answers to one of the system prompts take this much longer.
+        self._long_writing_s = long_writing_s
         self._reports = crash_reports.CrashReports()
         self._proven = proven_parts.ProvenParts()
         self._quarantine = quarantine_lib.Quarantine()
@@ -71,10 +82,8 @@
         for step in range(int(duration_s * _STEPS_PER_S)):
             now_s = step / _STEPS_PER_S
             self._send(now_s)
-            due = [r for r in self._running if r.begins_s <= now_s]
-            self._running = [r for r in self._running if r.begins_s > now_s]
-            for running in due:
-                self._begin(running, now_s)
+            for running in [r for r in self._running if r.begins_s <= now_s]:
+                self._write(running, now_s)
             if self._rng.random() < self._crashes_per_s / _STEPS_PER_S:
                 self._crash(self._rng.choice(self._engines), now_s)
             interval = self._mass_crash_interval_s * _STEPS_PER_S
@@ -93,20 +102,32 @@
             if _DEADLY in parts and now_s > self._fifth_crash_s + _CONTACT_S:
                 self.sent_after_fifth += 1
             begins_s = now_s + rng.uniform(0.05, self._max_wait_s)
+            ends_s = begins_s + rng.uniform(0.0, self._max_writing_s)
+            if parts[0] == "system-0" and _DEADLY not in parts:
+                ends_s += self._long_writing_s
             engine = rng.choice(self._engines)
-            self._running.append(_Running(engine, parts, now_s, begins_s))
-
-    def _begin(self, running: _Running, now_s: float) -> None:
-        if running.engine not in self._engines:
+            self._running.append(
+                _Running(engine, parts, now_s, begins_s, ends_s)
+            )
+
+    def _write(self, running: _Running, now_s: float) -> None:
+        """Plays the next event of an answer, and its end if it is due."""
+        if running not in self._running:
+            # Its engine has crashed in this step.
+            return
+        if running.trial.on_event(now_s):
+            self._proven.add(running.parts, now_s)
+        if running.ends_s > now_s:
             return
+        self._running.remove(running)
         if _DEADLY in running.parts:
             self.deadly_crashes += 1
             if self.deadly_crashes == 5:
                 self._fifth_crash_s = now_s
             self._running.append(running)
             self._crash(running.engine, now_s)
-        else:
-            self._proven.on_first_event(running.parts, now_s)
+        elif running.trial.on_end(is_complete=True, has_framing=True):
+            self._proven.add(running.parts, now_s)
 
     def _crash(self, engine: int, now_s: float) -> None:
         lost = [r for r in self._running if r.engine == engine]
@@ -152,6 +173,37 @@
     assert load.sent_after_fifth <= 3
 
 
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("deadly_share", [0.01, 0.05, 0.2])
+def test_deadly_part_is_found_if_engines_crash_after_some_events(
+    seed, deadly_share
+):
+    """Events that left an engine before its crash proved its prompt sound."""
+    load = _Load(seed, deadly_share, max_writing_s=1.0)
+    load.play()
+    assert load.causes == [{_DEADLY}]
+    assert load.deadly_crashes >= 4
+    assert load.sent_after_fifth <= 3
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(
+    "crashes", [{"crashes_per_s": 1.0}, {"mass_crash_share": 0.6}]
+)
+def test_parts_of_long_answers_are_not_put_in_quarantine(seed, crashes):
+    """Long answers are lost more often, and complete later, than others."""
+    load = _Load(
+        seed,
+        deadly_share=0.0,
+        max_writing_s=1.0,
+        long_writing_s=20.0,
+        mass_crash_interval_s=10,
+        **crashes,
+    )
+    load.play()
+    assert load.causes == []
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_deadly_part_is_found_among_other_crashes(seed):
     load = _Load(seed, crashes_per_s=0.5)
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -93,7 +93,7 @@
         await asyncio.sleep(0.12)
         for name, other in self.guards.items():
             if name not in self.lost:
-                other.on_first_event(_request("another"))
+                other.on_sound(_request("another"))
         await asyncio.sleep(0.1)
 
 
@@ -130,7 +130,7 @@
     async with _fleet() as fleet:
         for n in range(4):
             assert fleet.refusing(_request("system", "deadly")) == []
-            fleet.guards["router-9"].on_first_event(_request("system"))
+            fleet.guards["router-9"].on_sound(_request("system"))
             await fleet.crash("system", "deadly", router=n)
         assert len(fleet.refusing(_request("system", "deadly"))) == _ROUTERS
         assert fleet.refusing(_request("system", "sound")) == []
@@ -234,8 +234,8 @@
         for _ in range(10):
             await asyncio.sleep(0.1)
             assert fleet.refusing(_request("system", "any")) == []
-        fleet.guards["router-9"].on_first_event(_request("system"))
+        fleet.guards["router-9"].on_sound(_request("system"))
         for n in range(200):
-            fleet.guards[f"router-{n % 9}"].on_first_event(_request("other"))
+            fleet.guards[f"router-{n % 9}"].on_sound(_request("other"))
         await asyncio.sleep(2.5)
         assert fleet.refusing(_request("system", "any")) == []
