Read only short bodies of refusals from backend servers

Other operators report that a faulty server sent bytes without end, and that the machine that had called it kept them all until its memory was used up. Here that could happen with the body of a refusal (X-Not-Executed, 421).

Cause: the body was read whole, for up to 0.2 s, so that the connection could be used again. Time was bounded, size was not.

At most 64 KiB are read now; after more the connection is closed.

--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -32,6 +32,10 @@
     }
 )
 _MAX_DETAIL_CHARS = 200
+# A refusal's body is read to its end, so that its connection can be used again,
+# only if it is short.
+_MAX_DISCARDED_BYTES = 64 * 1024
+_DISCARD_TIMEOUT_S = 0.2
 _ERRORS_WITH_OWN_TEXT = (
     OSError,
     aiohttp.ClientConnectionError,
@@ -220,11 +224,20 @@
 
 
 async def _discard(resp: aiohttp.ClientResponse, *, reusable: bool) -> None:
-    if reusable:
-        try:
-            async with asyncio.timeout(0.2):
-                await resp.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            reusable = False
-    if not reusable:
+    """Drops an answer; closes its connection unless it can be used again."""
+    if not (reusable and await _read_short_body(resp)):
         resp.close()
+
+
+async def _read_short_body(resp: aiohttp.ClientResponse) -> bool:
+    """Reads a body to its end; returns False if it is too long or too slow."""
+    size = 0
+    try:
+        async with asyncio.timeout(_DISCARD_TIMEOUT_S):
+            while chunk := await resp.content.readany():
+                size += len(chunk)
+                if size > _MAX_DISCARDED_BYTES:
+                    return False
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        return False
+    return True
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -184,3 +184,45 @@
         )
         resp = await system.send("/status/x")
         assert await resp.read() == body
+
+
+_REFUSALS = {
+    "no length": b"",
+    "long length": b"Content-Length: 99999999999\r\n",
+    "chunks": b"Transfer-Encoding: chunked\r\n",
+}
+
+
+@pytest.mark.parametrize("framing", _REFUSALS)
+@pytest.mark.parametrize(
+    "status", ["503 Service Unavailable", "421 Misdirected Request"]
+)
+async def test_endless_body_of_a_refusal_is_not_read(
+    status: str, framing: str
+) -> None:
+    """The body of a refusal was read whole, to use the connection again."""
+    head = (
+        f"HTTP/1.1 {status}\r\nX-Attempt-Id: a1\r\nX-Not-Executed: 1\r\n"
+    ).encode()
+    more = b"x" * 65536
+    if framing == "chunks":
+        more = b"10000\r\n" + more + b"\r\n"
+    async with gateway_system.running() as system:
+        start = head + _REFUSALS[framing] + b"\r\n"
+        async with _endless(system, start, more) as backend:
+            resp = await system.send("/order/x", method="POST")
+            await asyncio.wait_for(backend.closed.wait(), 2.0)
+            await asyncio.sleep(0.3)
+        assert resp.status == 503
+        assert backend.sent_bytes < _MAX_READ_BYTES
+
+
+async def test_endless_bytes_after_an_answer_end_the_connection() -> None:
+    """Nobody reads an idle connection."""
+    async with gateway_system.running() as system:
+        start = scripted_backend.answer()
+        async with _endless(system, start, b"x" * 65536) as backend:
+            resp = await system.send("/status/x")
+            assert await resp.text() == "ok"
+            await asyncio.wait_for(backend.closed.wait(), 2.0)
+        assert backend.sent_bytes < _MAX_READ_BYTES
