Search only the new bytes of a stream for the end of an event

Requests of other callers would stall while a faulty server sends an event without end in small pieces.

Cause: each piece was searched together with all bytes of the event before it, so the work grew with the square of the event's size, up to 1 MiB.

--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -141,7 +141,7 @@
         except OSError as exc:
             return upstream.describe(exc)
         finally:
-            if self._scanner.incomplete_event:
+            if self._scanner.incomplete_bytes:
                 self._partial_events += 1
             if not is_complete:
                 self._scanner.discard_incomplete_event()
@@ -197,7 +197,7 @@
         while chunk := await reader.read():
             events_before = self._scanner.events
             whole_events = self._scanner.feed(chunk)
-            if len(self._scanner.incomplete_event) > _MAX_EVENT_BYTES:
+            if self._scanner.incomplete_bytes > _MAX_EVENT_BYTES:
                 raise upstream_protocol.MalformedAnswerError("event too long")
             if self._scanner.events > events_before:
                 now_s = time.monotonic()
@@ -205,7 +205,7 @@
                 self._on_event(now_s)
             if whole_events:
                 await self._write_events(resp, whole_events)
-        if self._scanner.incomplete_event:
+        if self._scanner.incomplete_bytes:
             if is_resumed or not upstream_protocol.has_framing(resp):
                 raise upstream_protocol.MalformedAnswerError(
                     "the stream ends inside an event"
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from hibiscuspass.core.forwarding import event_scanner
 from hibiscuspass.gateway import relay
 from hibiscuspass.gateway import upstream_protocol
 from tests import gateway_system
@@ -226,3 +227,14 @@
             assert await resp.text() == "ok"
             await asyncio.wait_for(backend.closed.wait(), 2.0)
         assert backend.sent_bytes < _MAX_READ_BYTES
+
+
+def test_endless_event_in_small_pieces_needs_little_time() -> None:
+    """Each piece was searched together with all bytes before it."""
+    scanner = event_scanner.EventScanner()
+    start_s = time.process_time()
+    while scanner.incomplete_bytes < relay._MAX_EVENT_BYTES:
+        scanner.feed(b"d" * 100)
+    assert time.process_time() - start_s < 1.0
+    assert scanner.feed(b"\n\n").endswith(b"d\n\n")
+    assert scanner.events == 1
