Answer all requests that a planned stop cuts before their answer begins

Cause: requests were accepted for 3.0 s and cut 1.0 s before the end, whatever the grace was, and nothing asked whether the time that was left was enough for an answer. With a grace of 4 s or less, requests were accepted until the cut.

core/forwarding/stop_schedule.py decides what is accepted and sent in a stop. At the cut, requests whose answer has not begun get 504 if they may have run, else 503.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -27,15 +27,14 @@
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import load_monitors
 from hibiscuspass.gateway import prompt_guard
+from hibiscuspass.gateway import send_checks
+from hibiscuspass.gateway import time_limits
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.gateway import watched_send
 from hibiscuspass.platform import headers as names
 
 _log = structlog.get_logger(__name__)
 
-# By then, other servers are expected to be free.
-_RETRY_AFTER_S = 0.5
-
 
 @attrs.frozen
 class Answer:
@@ -68,6 +67,7 @@
         announcer: dispatch_announcer.DispatchAnnouncer,
         monitors: load_monitors.LoadMonitors,
         guard: prompt_guard.PromptGuard,
+        limits: time_limits.TimeLimits,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._upstream = upstream
@@ -79,6 +79,7 @@
         self._announcer = announcer
         self._monitors = monitors
         self._guard = guard
+        self._checks = send_checks.SendChecks(guard, limits, repeats, fleet)
         self._metrics = metrics
 
     def tokens_per_event(self, call: call_lib.Call) -> int:
@@ -170,15 +171,15 @@
         while True:
             service = self._chooser.choose_service(call)
             if service is None:
-                return self._give_up(attempts, "unknown service")
+                return send_checks.give_up(attempts, "unknown service")
             choice = await self._chooser.choose(call, service, attempts)
             if choice is None:
-                return self._give_up(
+                return send_checks.give_up(
                     attempts,
                     "no backend server left",
                     self._chooser.retry_after_s(service),
                 )
-            refused = self._check_send(call, service, attempts)
+            refused = self._checks.check(call, service, attempts)
             if refused:
                 return refused
             outcome = await self._send(
@@ -234,56 +235,6 @@
             now_s=time.monotonic(),
         )
 
-    def _check_send(
-        self,
-        call: call_lib.Call,
-        service: route_lib.Service,
-        attempts: attempts_lib.Attempts,
-    ) -> refusal.Refusal | None:
-        """Returns why a request must not be sent now; None if it may be.
-
-        Counts the request, or its repeat, in the retry budget of the service.
-        """
-        quarantined = self._guard.check(call.req)
-        if quarantined and attempts.sends:
-            return self._give_up(attempts, quarantined.detail)
-        if quarantined:
-            return quarantined
-        now_s = time.monotonic()
-        budget = self._repeats.of(service.name)
-        if not attempts.sends:
-            budget.on_request(now_s)
-            return None
-        if attempts.is_hopeless:
-            return self._give_up(attempts, "no server was reached")
-        if attempts.arrivals < attempts.sends and not attempts.arrivals:
-            # No server was reached yet, so this is not a repeat.
-            return None
-        if attempts.arrivals >= attempts.max_attempts:
-            return self._give_up(attempts, "no attempts left")
-        if not budget.try_repeat(self._fleet.known_size, now_s):
-            return self._give_up(attempts, "the repeat budget is used up")
-        return None
-
-    def _give_up(
-        self,
-        attempts: attempts_lib.Attempts,
-        detail: str,
-        retry_after_s: float | None = None,
-    ) -> refusal.Refusal:
-        detail = f"{detail}; last failure: {attempts.last_failure or 'none'}"
-        if attempts.may_have_run:
-            return refusal.Refusal(
-                reason_lib.Reason.BACKEND_LOST,
-                detail,
-                run_state.RunState.UNKNOWN,
-            )
-        return refusal.Refusal(
-            reason_lib.Reason.NO_BACKEND,
-            detail,
-            retry_after_s=retry_after_s or _RETRY_AFTER_S,
-        )
-
     async def _send(
         self,
         call: call_lib.Call,
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -20,6 +20,8 @@
 from hibiscuspass.gateway import prompt_guard
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import relay as relay_lib
+from hibiscuspass.gateway import send_checks
+from hibiscuspass.gateway import time_limits
 from hibiscuspass.gateway import upstream_protocol
 
 _log = structlog.get_logger(__name__)
@@ -39,11 +41,13 @@
         prepaid: prepaid_runtime.PrepaidRuntime,
         dispatcher: dispatch_lib.Dispatcher,
         guard: prompt_guard.PromptGuard,
+        limits: time_limits.TimeLimits,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._prepaid = prepaid
         self._guard = guard
         self._dispatcher = dispatcher
+        self._limits = limits
         self._metrics = metrics
 
     async def forward(
@@ -60,10 +64,10 @@
         relay = relay_lib.Relay(http, call, self._dispatcher.tokens_per_event)
         attempts = attempts_lib.Attempts(call.route.max_attempts)
         try:
-            async with asyncio.timeout_at(call.req.deadline_s):
+            async with self._limits.until(call.req.deadline_s):
                 outcome = await self._send_until_answered(call, relay, attempts)
         except TimeoutError:
-            outcome = self._on_timeout(relay, attempts)
+            outcome = self._on_timeout(call, relay, attempts)
         except ConnectionResetError:
             self._on_caller_left(call, relay, attempts)
             relay.abort()
@@ -172,14 +176,25 @@
         return failure
 
     def _on_timeout(
-        self, relay: relay_lib.Relay, attempts: attempts_lib.Attempts
+        self,
+        call: call_lib.Call,
+        relay: relay_lib.Relay,
+        attempts: attempts_lib.Attempts,
     ) -> refusal.Refusal:
+        is_cut = (
+            self._limits.stop is not None
+            and self._limits.stop.cut_s < call.req.deadline_s
+        )
         if attempts.may_have_run or relay.is_started:
             return refusal.Refusal(
                 reason_lib.Reason.BACKEND_TIMEOUT,
-                "the time for the request is over",
+                "this router stops"
+                if is_cut
+                else "the time for the request is over",
                 run_state.RunState.UNKNOWN,
             )
+        if is_cut:
+            return send_checks.refuse_in_stop(attempts)
         return refusal.Refusal(
             reason_lib.Reason.DEADLINE, "the time is over; not run"
         )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -20,6 +20,7 @@
 from hibiscuspass.core.forwarding import repeat_budget
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.core.forwarding import route_table
+from hibiscuspass.core.forwarding import stop_schedule
 from hibiscuspass.core.prepaid import draw_policy
 from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
 from hibiscuspass.gateway import backend_chooser
@@ -40,6 +41,7 @@
 from hibiscuspass.gateway import start_time
 from hibiscuspass.gateway import store_followers
 from hibiscuspass.gateway import store_probe
+from hibiscuspass.gateway import time_limits
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.peers import pynng_pubsub
 from hibiscuspass.peers import request_transport
@@ -50,11 +52,8 @@
 
 _log = structlog.get_logger(__name__)
 
-# Requests that arrive later than this after SIGTERM are refused as not run. By
-# then the load balancer has had time to choose other routers.
-_ACCEPT_AFTER_STOP_S = 3.0
-# Time at the end of the grace period for returning prepaid tokens.
-_TOKEN_RETURN_S = 1.0
+# Time for writing the responses to requests that the stop has cut.
+_WRITE_S = 0.1
 _RETRY_AFTER_S = 0.3
 # Interval of the log lines with the numbers of calls of the store.
 _REPORT_INTERVAL_S = 10.0
@@ -83,7 +82,7 @@
             cfg.process.name, os.urandom(6).hex()
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._stopping_since_s: float | None = None
+        self._limits = time_limits.TimeLimits()
         self._in_progress = 0
         self._repeats = repeat_budget.RepeatBudgets(_repeat_config(cfg))
         self._idle = asyncio.Event()
@@ -145,26 +144,25 @@
         """Stops within the grace period; later calls do nothing.
 
         Accepts requests for a short time, finishes those in progress, and
-        returns the prepaid tokens.
+        returns the prepaid tokens. Requests that last too long are answered
+        with a failure, or cut if their answers have begun.
         """
-        if self._stopping_since_s is not None:
+        if self._limits.stop is not None:
             return
         now_s = time.monotonic()
-        self._stopping_since_s = now_s
+        schedule = stop_schedule.make_stop_schedule(now_s, self._cfg.grace_s)
+        self._limits.on_stop(schedule)
         _log.info("stopping", in_progress=self._in_progress)
-        end_s = now_s + self._cfg.grace_s - _TOKEN_RETURN_S
-        accept_until_s = min(now_s + _ACCEPT_AFTER_STOP_S, end_s)
-        await asyncio.sleep(accept_until_s - time.monotonic())
+        await asyncio.sleep(schedule.accept_until_s - now_s)
         # Requests in progress hold the tokens that they may use. All others
         # are returned now, for use by other routers.
         await self._return_tokens()
-        remaining_s = max(0.0, end_s - time.monotonic())
         try:
-            async with asyncio.timeout(remaining_s):
+            async with asyncio.timeout_at(schedule.cut_s + _WRITE_S):
                 await self._idle.wait()
         except TimeoutError:
             _log.warning(
-                "grace period over, cutting requests",
+                "grace period over, closing connections",
                 in_progress=self._in_progress,
             )
         await self._return_tokens()
@@ -205,7 +203,7 @@
     @property
     def _is_ready(self) -> bool:
         return (
-            self._stopping_since_s is None
+            self._limits.stop is None
             and self._followers.config.table is not None
             and self._followers.backends.is_loaded
             and self._forwarder is not None
@@ -270,10 +268,15 @@
             announcer,
             monitors,
             self._guard,
+            self._limits,
             self._metrics,
         )
         self._forwarder = forwarder_lib.Forwarder(
-            self._prepaid, dispatcher, self._guard, self._metrics
+            self._prepaid,
+            dispatcher,
+            self._guard,
+            self._limits,
+            self._metrics,
         )
         await self._transport.start()
         self._pubsub.start()
@@ -316,7 +319,7 @@
             self._in_progress -= 1
             if not self._in_progress:
                 self._idle.set()
-        if self._stopping_since_s is not None and not response.prepared:
+        if self._limits.stop is not None and not response.prepared:
             response.force_close()
         return response
 
@@ -332,11 +335,8 @@
                     retry_after_s=_RETRY_AFTER_S,
                 ),
             )
-        stopping_since_s = self._stopping_since_s
-        if (
-            stopping_since_s is not None
-            and now_s > stopping_since_s + _ACCEPT_AFTER_STOP_S
-        ):
+        stop = self._limits.stop
+        if stop is not None and now_s > stop.accept_until_s:
             return _reject(
                 http,
                 refusal.Refusal(
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -12,6 +12,7 @@
 import attrs
 import yarl
 
+from hibiscuspass.core.forwarding import stop_schedule
 from hibiscuspass.gateway import process as process_lib
 from hibiscuspass.gateway import start_time
 from hibiscuspass.platform import operator_config
@@ -142,7 +143,7 @@
         await gateway._transport.close()
         await gateway._pubsub.close()
         # Makes `GatewayProcess.stop` return at once.
-        gateway._stopping_since_s = 0.0
+        gateway._limits.stop = stop_schedule.make_stop_schedule(0.0, 1.0)
 
     async def wait_until_ready(self) -> None:
         """Returns when the gateway is ready for requests."""
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -56,7 +56,7 @@
         backend.scripts.append(_HEAD + _EVENT)
         resp = await system.send("/draft/x", X_Deadline_Ms="9000")
         stopping = asyncio.create_task(system.gateway.stop())
-        # New requests are accepted for 3 s after the start of the stop.
+        # New requests are accepted for less than 3 s.
         await asyncio.sleep(3.3)
         late = await system.send("/order/x", method="POST")
         await backend.send_more(b"0\r\n\r\n")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -21,7 +21,7 @@
 from tests.soak import system as system_lib
 
 _CALLERS = 20
-# Time after SIGTERM in which requests are still served, and the grace period.
+# A time after SIGTERM at which requests are refused, and the grace period.
 _ACCEPT_S = 3.0
 _GRACE_S = 5.0
 # Time that the backend server needs, and the same for requests whose ids begin
@@ -96,6 +96,8 @@
 @contextlib.asynccontextmanager
 async def _system(
     runs: collections.Counter[str],
+    grace_s: float = _GRACE_S,
+    delay_s: float = _DELAY_S,
 ) -> AsyncIterator[gateway_system.System]:
     """Runs a gateway with a backend server that echoes the ids of requests."""
 
@@ -104,14 +106,14 @@
         await req.read()
         runs[attempt_id] += 1
         is_slow = attempt_id.startswith(_SLOW_NAME)
-        await asyncio.sleep(_SLOW_S if is_slow else _DELAY_S)
+        await asyncio.sleep(_SLOW_S if is_slow else delay_s)
         headers = {"X-Attempt-Id": attempt_id, "X-Server-Stamp": "s"}
         return web.Response(headers=headers, text="done")
 
     app = web.Application()
     app.router.add_route("*", "/{tail:.*}", serve)
     runner, address = await system_lib.serve(app)
-    async with gateway_system.running(grace_s=_GRACE_S) as system:
+    async with gateway_system.running(grace_s=grace_s) as system:
         system.move_backend(0, address)
         await asyncio.sleep(0.1)
         yield system
@@ -189,6 +191,85 @@
     assert (status, runs) == (200, {"b-0": 1})
 
 
+async def _post_slowly(
+    system: gateway_system.System, attempt_id: str, rest_after_s: float = 0.0
+) -> int | None:
+    """Sends an order; returns the status, or None without an answer.
+
+    Args:
+      system: System to send to.
+      attempt_id: Id of the request.
+      rest_after_s: Time in seconds after which the rest of the body follows.
+    """
+    host, _, port = system.url.removeprefix("http://").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = _request(attempt_id, "/order/x").replace(b"GET", b"POST")
+    with contextlib.closing(writer):
+        writer.write(head[:-2] + b"Content-Length: 8\r\n\r\n1234")
+        await asyncio.sleep(rest_after_s)
+        writer.write(b"5678")
+        try:
+            return (await _read_answer(reader))[0]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+
+
+async def test_request_that_outlasts_the_grace_gets_an_answer() -> None:
+    """It was cut with no answer, though its backend server had run it."""
+    runs: collections.Counter[str] = collections.Counter()
+    async with _system(runs, grace_s=3.0) as system:
+        order = asyncio.create_task(_post_slowly(system, f"{_SLOW_NAME}-0"))
+        await asyncio.sleep(0.1)
+        await system.gateway.stop()
+        assert await order == 504
+    assert runs == {f"{_SLOW_NAME}-0": 1}
+
+
+async def test_request_that_is_complete_too_late_is_refused_as_not_run() -> (
+    None
+):
+    """It was passed on shortly before the end, and cut with no answer."""
+    runs: collections.Counter[str] = collections.Counter()
+    async with _system(runs) as system:
+        order = asyncio.create_task(
+            _post_slowly(system, f"{_SLOW_NAME}-0", _GRACE_S - 1.05)
+        )
+        await asyncio.sleep(0.05)
+        await system.gateway.stop()
+        assert await order == 503
+    assert runs == {}
+
+
+@pytest.mark.parametrize("grace_s", [1.5, 4.0])
+async def test_all_that_run_in_a_short_grace_are_answered(
+    grace_s: float,
+) -> None:
+    """Requests were taken until the end of a short grace, and cut then."""
+    runs: collections.Counter[str] = collections.Counter()
+    statuses: dict[str, int | None] = {}
+
+    async def order(attempt_id: str) -> None:
+        try:
+            statuses[attempt_id] = await _post_slowly(system, attempt_id)
+        except ConnectionError:
+            statuses[attempt_id] = None
+
+    async with _system(runs, grace_s, delay_s=0.4) as system:
+        stopping = asyncio.create_task(system.gateway.stop())
+        async with asyncio.TaskGroup() as tasks:
+            for n in itertools.count():
+                if stopping.done():
+                    break
+                tasks.create_task(order(f"o-{n}"))
+                await asyncio.sleep(0.02)
+        await stopping
+    assert [a for a, status in statuses.items() if not status and runs[a]] == []
+    assert [
+        a for a, status in statuses.items() if status == 503 and runs[a]
+    ] == []
+    assert {200, 503} <= set(statuses.values())
+
+
 @pytest.mark.parametrize("signals", [1, 2])
 async def test_stop_during_the_start_ends_in_time(
     signals: int, tmp_path: pathlib.Path
