--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -1,56 +1,23 @@
 """Tests that callers get only complete answers to their own requests."""
 
-import time
-
 import aiohttp
-import multidict
 import pytest
 
 from hibiscuspass.core import run_state
-from hibiscuspass.core.forwarding import backend as backend_lib
-from hibiscuspass.core.forwarding import request as request_lib
-from hibiscuspass.core.forwarding import route as route_lib
-from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import upstream as upstream_lib
+from tests import gateway_calls
 from tests import scripted_backend
 
 _UNKNOWN = run_state.RunState.UNKNOWN
 _NO = run_state.RunState.NO
 
 
-def _call(method: str = "GET") -> call_lib.Call:
-    now_s = time.monotonic()
-    return call_lib.Call(
-        req=request_lib.ForwardRequest("a1", now_s, now_s + 2.0),
-        method=method,
-        target="/orders/7?x=%2F",
-        headers=multidict.CIMultiDict({"Host": "h", "X-Attempt-Id": "a1"}),
-        body=b"",
-        route=route_lib.Route(
-            "r",
-            "h",
-            "/orders/",
-            route_lib.RequestKind.IDEMPOTENT,
-            2.0,
-            0.1,
-            0,
-            (route_lib.ServiceShare("s", 1.0),),
-        ),
-        workspace=None,
-        version=1,
-    )
-
-
-def _backend(address: str) -> backend_lib.Backend:
-    return backend_lib.Backend(
-        "i-1", "s", address, "d", 4, backend_lib.BackendState.READY
-    )
-
-
 async def _send(
     backend: scripted_backend.ScriptedBackend, upstream: upstream_lib.Upstream
 ) -> aiohttp.ClientResponse | upstream_lib.Failure:
-    return await upstream.send(_call(), _backend(backend.address))
+    return await upstream.send(
+        gateway_calls.call(), gateway_calls.backend(backend.address)
+    )
 
 
 @pytest.mark.parametrize(
@@ -181,7 +148,9 @@
 async def test_refused_connection_is_not_run() -> None:
     """A refused connection must not count as a request that may have run."""
     upstream = upstream_lib.Upstream()
-    outcome = await upstream.send(_call(), _backend("127.0.0.1:1"))
+    outcome = await upstream.send(
+        gateway_calls.call(), gateway_calls.backend("127.0.0.1:1")
+    )
     await upstream.close()
     assert isinstance(outcome, upstream_lib.Failure)
     assert outcome.run is _NO
