Treat a stream without framing and events as broken off

Callers got a 200 with an empty body, framed as whole, when an engine stopped after the head of an answer that has neither a length nor chunks; a stream that had broken off looked complete when the engine that resumed it did so.

Cause: such a body ends with its connection, and an empty one was accepted like any other. A stream has at least one event, so without one the engine has stopped.

Evidence: tests/test_cut_heads.py -k ends_with_its_head: 2 failed before (200 instead of 502), 2 passed after.

--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -194,6 +194,7 @@
         watch: progress.ProgressWatch,
     ) -> bool:
         is_resumed = self.is_started
+        events_at_start = self._scanner.events
         while chunk := await reader.read():
             events_before = self._scanner.events
             whole_events = self._scanner.feed(chunk)
@@ -212,6 +213,14 @@
                 )
             # The last event may lack the empty line at its end.
             await self._write_events(resp, self._scanner.incomplete_event)
+        if (
+            self._scanner.events == events_at_start
+            and not upstream_protocol.has_framing(resp)
+        ):
+            # The server may have stopped after the head.
+            raise upstream_protocol.MalformedAnswerError(
+                "the stream ends before its first event"
+            )
         await self._write_events(resp, None)
         return True
 
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -183,3 +183,28 @@
         backend.scripts[:] = [answer]
         resp = await system.send(f"/{route}/x")
         assert (resp.status, await resp.read()) == (200, _EVENT)
+
+
+@pytest.mark.parametrize("route", ["draft", "ask"])
+async def test_stream_that_ends_with_its_head_is_not_complete(
+    route: str,
+) -> None:
+    """Without a length and chunks it was a success with an empty body."""
+    head = scripted_backend.answer(headers=("X-Server-Stamp: s",), body=b"")
+    async with gateway_system.running(backends=2) as system:
+        for backend in system.backends:
+            backend.close = True
+            backend.scripts += [head]
+        resp = await system.send(f"/{route}/x")
+        assert resp.status == 502
+        # A stream that broke off after its first event goes on nowhere.
+        first = scripted_backend.answer(
+            headers=("X-Server-Stamp: s", "Transfer-Encoding: chunked"),
+            body=b"%x\r\n%b\r\n" % (len(_EVENT), _EVENT),
+        )
+        for backend in system.backends:
+            backend.scripts[:] = [first, head]
+        resp = await system.send(f"/{route}/x")
+        assert resp.status == 200
+        with pytest.raises(aiohttp.ClientError):
+            await resp.read()
