End a silent answer only when another server has the request (LOST)

Callers saw streams cut in the middle although their engines were sound: the engine paused, the gateway gave the stream up, and then could not resume it.

Cause: a check said that another server could be asked, and the answer was ended on that word. Whether one took the request over was decided later. In between, the next engine was chosen; in fleets of more than ten routers that waits for a monitor, so all streams of a paused engine passed the check while the retry budget had room for one. Also, the next server may be full or crash.

Change: the request is sent to the other server first, after all checks of a repeat and with its charge. The silent answer ends if that server has not failed within 0.2 s; else the gateway goes on waiting for it. A caller that leaves meanwhile ends both runs.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -4,7 +4,6 @@
 import time
 
 import aiohttp
-import attrs
 import structlog
 
 from hibiscuspass.core import reason as reason_lib
@@ -12,7 +11,6 @@
 from hibiscuspass.core import run_state
 from hibiscuspass.core.forwarding import attempts as attempts_lib
 from hibiscuspass.core.forwarding import backend as backend_lib
-from hibiscuspass.core.forwarding import backend_selector as selector_lib
 from hibiscuspass.core.forwarding import backend_selectors as selectors_lib
 from hibiscuspass.core.forwarding import progress
 from hibiscuspass.core.forwarding import prompt_trial
@@ -28,6 +26,7 @@
 from hibiscuspass.gateway import load_monitors
 from hibiscuspass.gateway import prompt_guard
 from hibiscuspass.gateway import send_checks
+from hibiscuspass.gateway import sends as sends_lib
 from hibiscuspass.gateway import time_limits
 from hibiscuspass.gateway import upstream as upstream_lib
 from hibiscuspass.gateway import watched_send
@@ -36,23 +35,6 @@
 _log = structlog.get_logger(__name__)
 
 
-@attrs.frozen
-class Answer:
-    """An answer of a backend server whose body is not read yet.
-
-    Attributes:
-      resp: Response with its head read and its connection open.
-      choice: Backend server that answered, and what was expected of it.
-      service: Service of the backend server.
-      sent_s: Time of the send on the monotonic clock.
-    """
-
-    resp: aiohttp.ClientResponse
-    choice: selector_lib.Choice
-    service: route_lib.Service
-    sent_s: float
-
-
 class Dispatcher:
     """Sends requests; repeats them where route and retry budget allow it."""
 
@@ -99,9 +81,9 @@
     async def dispatch(
         self,
         call: call_lib.Call,
-        attempts: attempts_lib.Attempts,
+        attempts: sends_lib.Sends,
         last_event_id: str | None,
-    ) -> Answer | refusal.Refusal:
+    ) -> sends_lib.Answer | refusal.Refusal:
         """Sends a request until a server answers.
 
         If a server answers with a failure of its own, such as status 500, the
@@ -116,13 +98,13 @@
         Returns:
           The answer, or a refusal if no server answered.
         """
-        failed: Answer | None = None
+        failed: sends_lib.Answer | None = None
         try:
             while True:
                 outcome = await self._dispatch_once(
                     call, attempts, last_event_id
                 )
-                if not isinstance(outcome, Answer):
+                if not isinstance(outcome, sends_lib.Answer):
                     fallback, failed = failed, None
                     return fallback or outcome
                 if failed is not None or not self._should_try_another(
@@ -132,13 +114,12 @@
                 failed = outcome
         finally:
             if failed is not None:
-                failed.resp.close()
-                self.on_ended(failed, succeeded=True)
+                self._drop(failed)
 
     def _should_try_another(
         self,
         call: call_lib.Call,
-        answer: Answer,
+        answer: sends_lib.Answer,
         attempts: attempts_lib.Attempts,
     ) -> bool:
         """Returns whether to ask another server after this answer."""
@@ -164,28 +145,20 @@
     async def _dispatch_once(
         self,
         call: call_lib.Call,
-        attempts: attempts_lib.Attempts,
+        attempts: sends_lib.Sends,
         last_event_id: str | None,
-    ) -> Answer | refusal.Refusal:
+    ) -> sends_lib.Answer | refusal.Refusal:
         """Sends a request until a server answers, with success or failure."""
         while True:
-            service = self._chooser.choose_service(call)
-            if service is None:
-                return send_checks.give_up(attempts, "unknown service")
-            choice = await self._chooser.choose(call, service, attempts)
-            if choice is None:
-                return send_checks.give_up(
-                    attempts,
-                    "no backend server left",
-                    self._chooser.retry_after_s(service),
+            outcome = await attempts.join()
+            if outcome is None:
+                target = await self._next_target(call, attempts)
+                if isinstance(target, refusal.Refusal):
+                    return target
+                outcome = await self._send(
+                    call, target, attempts, last_event_id
                 )
-            refused = self._checks.check(call, service, attempts)
-            if refused:
-                return refused
-            outcome = await self._send(
-                call, service, choice, attempts, last_event_id
-            )
-            if isinstance(outcome, Answer):
+            if isinstance(outcome, sends_lib.Answer):
                 return outcome
             may_have_run = outcome.run is not run_state.RunState.NO
             if may_have_run and not call.route.may_repeat:
@@ -195,7 +168,63 @@
                     run_state.RunState.UNKNOWN,
                 )
 
-    def on_first_event(self, call: call_lib.Call, answer: Answer) -> None:
+    async def _next_target(
+        self, call: call_lib.Call, attempts: sends_lib.Sends
+    ) -> sends_lib.Target | refusal.Refusal:
+        """Returns the server to send to next; counts the send as a repeat."""
+        service = self._chooser.choose_service(call)
+        if service is None:
+            return send_checks.give_up(attempts, "unknown service")
+        choice = await self._chooser.choose(call, service, attempts)
+        if choice is None:
+            return send_checks.give_up(
+                attempts,
+                "no backend server left",
+                self._chooser.retry_after_s(service),
+            )
+        refused = self._checks.check(call, service, attempts)
+        return refused or sends_lib.Target(service, choice)
+
+    async def hand_over(
+        self,
+        call: call_lib.Call,
+        attempts: sends_lib.Sends,
+        service: route_lib.Service,
+        last_event_id: str | None,
+    ) -> bool:
+        """Sends a request to another server while the one before is silent.
+
+        Args:
+          call: Request of the caller.
+          attempts: Earlier sends of the request; updated.
+          service: Service of the silent server.
+          last_event_id: Id of the event after which a stream is resumed.
+
+        Returns:
+          Whether another server has the request, so that the silent one can be
+          given up. The next `dispatch` returns the other one's answer.
+        """
+        if not self._can_ask_another(call, service, attempts):
+            return False
+        target = await self._next_target(call, attempts)
+        if isinstance(target, refusal.Refusal):
+            return False
+        return await attempts.hand_over(
+            self._send(call, target, attempts, last_event_id)
+        )
+
+    def abandon(self, attempts: sends_lib.Sends) -> None:
+        """Cancels a send that took over and whose answer nobody reads."""
+        attempts.cancel(self._drop)
+
+    def _drop(self, outcome: sends_lib.Outcome) -> None:
+        if isinstance(outcome, sends_lib.Answer):
+            outcome.resp.close()
+            self.on_ended(outcome, succeeded=True)
+
+    def on_first_event(
+        self, call: call_lib.Call, answer: sends_lib.Answer
+    ) -> None:
         """Records the first event of an answer."""
         now_s = time.monotonic()
         self._selectors.of(answer.service).on_first_event(
@@ -212,7 +241,7 @@
     def on_finding(
         self,
         call: call_lib.Call,
-        answer: Answer,
+        answer: sends_lib.Answer,
         finding: prompt_trial.Finding,
     ) -> None:
         """Records what an answer shows about its prompt."""
@@ -226,7 +255,7 @@
             may_be_complete=finding is prompt_trial.Finding.AMBIGUOUS,
         )
 
-    def on_ended(self, answer: Answer, *, succeeded: bool) -> None:
+    def on_ended(self, answer: sends_lib.Answer, *, succeeded: bool) -> None:
         """Records the end of an answer."""
         self._selectors.of(answer.service).on_ended(answer.choice)
         self._selectors.on_result(
@@ -238,11 +267,11 @@
     async def _send(
         self,
         call: call_lib.Call,
-        service: route_lib.Service,
-        choice: selector_lib.Choice,
-        attempts: attempts_lib.Attempts,
+        target: sends_lib.Target,
+        attempts: sends_lib.Sends,
         last_event_id: str | None,
-    ) -> Answer | upstream_lib.Failure:
+    ) -> sends_lib.Outcome:
+        service, choice = target.service, target.choice
         backend = choice.backend
         selector = self._selectors.of(service)
         sent_s = time.monotonic()
@@ -268,7 +297,7 @@
             outcome = await watched_send.send(
                 self._upstream.send(call, backend, last_event_id=last_event_id),
                 progress.ProgressWatch(call.route, choice.expected_s, sent_s),
-                lambda: self.can_ask_another(call, service, attempts),
+                lambda: self.hand_over(call, attempts, service, last_event_id),
             )
         finally:
             if not isinstance(outcome, aiohttp.ClientResponse):
@@ -277,7 +306,7 @@
             self._metrics.on_send("answered")
             if names.is_leaving(outcome.headers):
                 self._chooser.on_leaving(backend, "header of an answer")
-            return Answer(outcome, choice, service, sent_s)
+            return sends_lib.Answer(outcome, choice, service, sent_s)
         self._metrics.on_send(outcome.run.value)
         if outcome.run is run_state.RunState.NO:
             attempts.may_have_run = may_have_run_before
@@ -286,7 +315,7 @@
         self._on_failure(call, backend, attempts, outcome, sent_s)
         return outcome
 
-    def can_ask_another(
+    def _can_ask_another(
         self,
         call: call_lib.Call,
         service: route_lib.Service,
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import relay as relay_lib
 from hibiscuspass.gateway import send_checks
+from hibiscuspass.gateway import sends as sends_lib
 from hibiscuspass.gateway import time_limits
 from hibiscuspass.gateway import upstream_protocol
 
@@ -62,7 +63,7 @@
         if isinstance(hold, refusal.Refusal):
             return self._refuse(call, hold)
         relay = relay_lib.Relay(http, call, self._dispatcher.tokens_per_event)
-        attempts = attempts_lib.Attempts(call.route.max_attempts)
+        attempts = sends_lib.Sends(call.route.max_attempts)
         try:
             async with self._limits.until(call.req.deadline_s):
                 outcome = await self._send_until_answered(call, relay, attempts)
@@ -76,6 +77,7 @@
             self._on_caller_left(call, relay, attempts)
             raise
         finally:
+            self._dispatcher.abandon(attempts)
             if hold:
                 used = relay.tokens_used if attempts.may_have_run else 0
                 self._prepaid.accounts.settle(hold, used, time.monotonic())
@@ -102,7 +104,7 @@
         self,
         call: call_lib.Call,
         relay: relay_lib.Relay,
-        attempts: attempts_lib.Attempts,
+        attempts: sends_lib.Sends,
     ) -> refusal.Refusal | None:
         """Sends the request until one answer was relayed completely.
 
@@ -133,12 +135,17 @@
         self,
         call: call_lib.Call,
         relay: relay_lib.Relay,
-        answer: dispatch_lib.Answer,
-        attempts: attempts_lib.Attempts,
+        answer: sends_lib.Answer,
+        attempts: sends_lib.Sends,
     ) -> str | None:
         """Relays one answer; returns why it broke off, or None."""
         trial = prompt_trial.PromptTrial()
 
+        async def hand_over() -> bool:
+            return relay.can_continue and await self._dispatcher.hand_over(
+                call, attempts, answer.service, relay.last_event_id
+            )
+
         def on_event(now_s: float) -> None:
             if not trial.has_begun:
                 self._dispatcher.on_first_event(call, answer)
@@ -154,12 +161,7 @@
                 progress.ProgressWatch(
                     call.route, answer.choice.expected_s, answer.sent_s
                 ),
-                lambda: (
-                    relay.can_continue
-                    and self._dispatcher.can_ask_another(
-                        call, answer.service, attempts
-                    )
-                ),
+                hand_over,
             )
         except BaseException:
             # The caller left or the deadline passed, which is not a failure of
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -1,6 +1,7 @@
 """Copies the answers of backend servers to the caller."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import math
 import time
@@ -101,7 +102,7 @@
         resp: aiohttp.ClientResponse,
         on_event: Callable[[float], None],
         watch: progress.ProgressWatch,
-        may_give_up: Callable[[], bool],
+        hand_over: Callable[[], Awaitable[bool]],
     ) -> str | None:
         """Copies one answer to the caller.
 
@@ -110,7 +111,8 @@
           on_event: Called with the current monotonic time when complete events
             of this answer have arrived.
           watch: Follows the progress of this answer.
-          may_give_up: Returns whether another server can be asked now.
+          hand_over: Sends the request to another server; returns whether that
+            one has it.
 
         Returns:
           Why the answer broke off; None if it is complete.
@@ -123,7 +125,7 @@
             resp.close()
             return f"status {resp.status} after the start of a stream"
         self._report_event = on_event
-        reader = _Reader(resp, watch, may_give_up)
+        reader = _Reader(resp, watch, hand_over)
         is_complete = False
         try:
             if self._is_stream(resp):
@@ -270,11 +272,11 @@
         self,
         resp: aiohttp.ClientResponse,
         watch: progress.ProgressWatch,
-        may_give_up: Callable[[], bool],
+        hand_over: Callable[[], Awaitable[bool]],
     ) -> None:
         self._resp = resp
         self._watch = watch
-        self._may_give_up = may_give_up
+        self._hand_over = hand_over
         self._failure: aiohttp.ClientError | None = None
 
     async def read(self) -> bytes:
@@ -305,7 +307,7 @@
                 self._failure = exc
                 return received
             except TimeoutError:
-                if self._may_give_up():
+                if await self._hand_over():
                     raise NoProgressError from None
                 self._watch.extend(time.monotonic())
 
--- /dev/null
+++ b/hibiscuspass/gateway/sends.py
@@ -0,0 +1,105 @@
+"""Sends of one request to backend servers, and their outcomes."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+import attrs
+
+from hibiscuspass.core.forwarding import attempts as attempts_lib
+from hibiscuspass.core.forwarding import backend_selector as selector_lib
+from hibiscuspass.core.forwarding import route as route_lib
+from hibiscuspass.gateway import upstream
+
+# Time in which a server that is full refuses a request. Until it is over, both
+# servers may work on the request.
+_REFUSAL_S = 0.2
+
+
+@attrs.frozen
+class Target:
+    """Where a request is sent to.
+
+    Attributes:
+      service: Service of the backend server.
+      choice: Backend server, and what is expected of it.
+    """
+
+    service: route_lib.Service
+    choice: selector_lib.Choice
+
+
+@attrs.frozen
+class Answer:
+    """An answer of a backend server whose body is not read yet.
+
+    Attributes:
+      resp: Response with its head read and its connection open.
+      choice: Backend server that answered, and what was expected of it.
+      service: Service of the backend server.
+      sent_s: Time of the send on the monotonic clock.
+    """
+
+    resp: aiohttp.ClientResponse
+    choice: selector_lib.Choice
+    service: route_lib.Service
+    sent_s: float
+
+
+Outcome = Answer | upstream.Failure
+
+
+@attrs.define(eq=False)
+class Sends(attempts_lib.Attempts):
+    """Sends of one request, of which a later one may take over.
+
+    Load pattern: many streams of a slow engine are silent at once, the other
+    engines are full, and the retry budget covers a few of the streams. An
+    answer that is given up before another server has the request is lost.
+    """
+
+    _later_send: asyncio.Task[Outcome] | None = None
+
+    async def hand_over(self, send: Coroutine[Any, Any, Outcome]) -> bool:
+        """Sends the request to another server beside the silent one.
+
+        Args:
+          send: Sends the request and waits for the head of the answer.
+
+        Returns:
+          Whether the other server has not refused the request, so that the
+          silent one can be given up. `join` returns the other one's answer.
+        """
+        task = self._later_send = asyncio.create_task(send)
+        await asyncio.wait({task}, timeout=_REFUSAL_S)
+        if task.done() and isinstance(task.result(), upstream.Failure):
+            self._later_send = None
+        return self._later_send is not None
+
+    async def join(self) -> Outcome | None:
+        """Returns the outcome of the send that took over; None without one."""
+        task = self._later_send
+        if task is None:
+            return None
+        outcome = await task
+        if task is self._later_send:
+            self._later_send = None
+        return outcome
+
+    def cancel(self, drop: Callable[[Outcome], None]) -> None:
+        """Cancels a send that nobody waits for.
+
+        Args:
+          drop: Called with its outcome if it has ended meanwhile.
+        """
+
+        def on_done(task: asyncio.Task[Outcome]) -> None:
+            if not task.cancelled() and not task.exception():
+                drop(task.result())
+
+        task, self._later_send = self._later_send, None
+        if task is not None:
+            task.cancel()
+            task.add_done_callback(on_done)
--- a/hibiscuspass/gateway/watched_send.py
+++ b/hibiscuspass/gateway/watched_send.py
@@ -1,6 +1,7 @@
 """Waits for the head of an answer as long as that makes sense."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 import math
@@ -19,14 +20,15 @@
 async def send(
     exchange: Coroutine[Any, Any, Outcome],
     watch: progress.ProgressWatch,
-    may_give_up: Callable[[], bool],
+    hand_over: Callable[[], Awaitable[bool]],
 ) -> Outcome:
     """Sends a request; gives it up if no answer begins for too long.
 
     Args:
       exchange: Sends the request and waits for the head of the answer.
       watch: Follows the progress of the answer.
-      may_give_up: Returns whether another server can be asked now.
+      hand_over: Sends the request to another server; returns whether that one
+        has it.
     """
     task = asyncio.create_task(exchange)
     is_awaited = False
@@ -39,7 +41,7 @@
             )
             if task.done():
                 break
-            if may_give_up():
+            if await hand_over():
                 return upstream.Failure(
                     run_state.RunState.UNKNOWN, "no answer in time"
                 )
