Keep a silent stream if the next server fails (LOST)

Callers saw streams of sound engines cut in the middle: the engine paused, the gateway sent the stream to another engine, that one answered at once with a failure of its own (status 500 or 504), and the caller's connection was closed.

Cause: only refusals and lost connections of the other server counted as 'does not have the request'. An answer with a failure status ended the silent answer, although it can't continue a stream.

Change: the silent answer ends only for an answer with a success status; other answers are dropped and the gateway goes on waiting.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -210,7 +210,7 @@
         if isinstance(target, refusal.Refusal):
             return False
         return await attempts.hand_over(
-            self._send(call, target, attempts, last_event_id)
+            self._send(call, target, attempts, last_event_id), self._drop
         )
 
     def abandon(self, attempts: sends_lib.Sends) -> None:
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -16,6 +16,7 @@
 # Time in which a server that is full refuses a request. Until it is over, both
 # servers may work on the request.
 _REFUSAL_S = 0.2
+_SUCCESS_STATUSES = range(200, 300)
 
 
 @attrs.frozen
@@ -51,6 +52,12 @@
 Outcome = Answer | upstream.Failure
 
 
+def _is_success(outcome: Outcome) -> bool:
+    return (
+        isinstance(outcome, Answer) and outcome.resp.status in _SUCCESS_STATUSES
+    )
+
+
 @attrs.define(eq=False)
 class Sends(attempts_lib.Attempts):
     """Sends of one request, of which a later one may take over.
@@ -62,20 +69,27 @@
 
     _later_send: asyncio.Task[Outcome] | None = None
 
-    async def hand_over(self, send: Coroutine[Any, Any, Outcome]) -> bool:
+    async def hand_over(
+        self,
+        send: Coroutine[Any, Any, Outcome],
+        drop: Callable[[Outcome], None],
+    ) -> bool:
         """Sends the request to another server beside the silent one.
 
         Args:
           send: Sends the request and waits for the head of the answer.
+          drop: Called with an outcome that can't replace the silent answer.
 
         Returns:
-          Whether the other server has not refused the request, so that the
-          silent one can be given up. `join` returns the other one's answer.
+          Whether the other server has neither refused the request nor failed,
+          so that the silent one can be given up. `join` returns the other
+          one's answer.
         """
         task = self._later_send = asyncio.create_task(send)
         await asyncio.wait({task}, timeout=_REFUSAL_S)
-        if task.done() and isinstance(task.result(), upstream.Failure):
+        if task.done() and not _is_success(task.result()):
             self._later_send = None
+            drop(task.result())
         return self._later_send is not None
 
     async def join(self) -> Outcome | None:
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -58,6 +58,16 @@
         running.pop()
 
 
+def _fail(req: web.Request) -> web.Response:
+    return web.Response(
+        status=500,
+        headers={
+            "X-Attempt-Id": req.headers["X-Attempt-Id"],
+            "X-Server-Stamp": "s",
+        },
+    )
+
+
 def _break_off(req: web.Request) -> web.Response:
     """Closes the connection; the returned response is never sent."""
     assert req.transport
@@ -163,13 +173,13 @@
     assert outcomes == {"200 complete": _CALLERS}
 
 
-@pytest.mark.parametrize("resumption", [_refuse, _break_off])
+@pytest.mark.parametrize("resumption", [_refuse, _fail, _break_off])
 async def test_paused_stream_outlives_failed_resumption(
     resumption: _Resumption,
 ) -> None:
     """A stream whose engine pauses must not depend on another engine.
 
-    The other engine is full, or it crashes.
+    The other engine is full, it fails, or it crashes.
     """
     async with _system(engines=2, peers=0, resumption=resumption) as system:
         outcome = await _read_stream(system, "a")
