Keep a silent stream if the next server isn't reached (LOST)

Callers saw streams of sound engines cut in the middle while another engine could not be connected to (its VM is off or cut from the network).

Cause: a paused stream was given up when the other server had not failed within 0.2 s. An attempt to connect may hang for 1 s, so that the stream ended although nobody had the request; after the attempt there was no other server left, or no retry budget.

Evidence: tests/test_given_up_streams.py, new test, on the code before: answer broke off detail='no backend server left; last failure: connect: Connection timeout to host ...' events=2 ms=2011 sends=2 The engine had gone on after 1.6 s.

Change: the other server counts only once the request is written to a connection. Else the attempt is cancelled after 0.2 s, it counts as a server that was not reached, and the gateway goes on waiting for the silent one.

--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -210,7 +210,10 @@
         if isinstance(target, refusal.Refusal):
             return False
         return await attempts.hand_over(
-            self._send(call, target, attempts, last_event_id), self._drop
+            lambda on_written: self._send(
+                call, target, attempts, last_event_id, on_written
+            ),
+            self._drop,
         )
 
     def abandon(self, attempts: sends_lib.Sends) -> None:
@@ -270,6 +273,7 @@
         target: sends_lib.Target,
         attempts: sends_lib.Sends,
         last_event_id: str | None,
+        on_written: Callable[[], None] | None = None,
     ) -> sends_lib.Outcome:
         service, choice = target.service, target.choice
         backend = choice.backend
@@ -295,7 +299,12 @@
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
             outcome = await watched_send.send(
-                self._upstream.send(call, backend, last_event_id=last_event_id),
+                self._upstream.send(
+                    call,
+                    backend,
+                    last_event_id=last_event_id,
+                    on_written=on_written,
+                ),
                 progress.ProgressWatch(call.route, choice.expected_s, sent_s),
                 lambda: self.hand_over(call, attempts, service, last_event_id),
             )
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -71,25 +71,30 @@
 
     async def hand_over(
         self,
-        send: Coroutine[Any, Any, Outcome],
+        send: Callable[[Callable[[], None]], Coroutine[Any, Any, Outcome]],
         drop: Callable[[Outcome], None],
     ) -> bool:
         """Sends the request to another server beside the silent one.
 
         Args:
-          send: Sends the request and waits for the head of the answer.
+          send: Sends the request and waits for the head of the answer; calls
+            its argument when the request is written to a connection.
           drop: Called with an outcome that can't replace the silent answer.
 
         Returns:
-          Whether the other server has neither refused the request nor failed,
-          so that the silent one can be given up. `join` returns the other
-          one's answer.
+          Whether the other server has got the request and has neither refused
+          it nor failed, so that the silent one can be given up. `join` returns
+          the other one's answer.
         """
-        task = self._later_send = asyncio.create_task(send)
+        written = asyncio.Event()
+        task = self._later_send = asyncio.create_task(send(written.set))
         await asyncio.wait({task}, timeout=_REFUSAL_S)
         if task.done() and not _is_success(task.result()):
             self._later_send = None
             drop(task.result())
+        elif not written.is_set():
+            self.on_unreachable(_REFUSAL_S)
+            self.cancel(drop)
         return self._later_send is not None
 
     async def join(self) -> Outcome | None:
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -1,8 +1,10 @@
 """Sends requests to backend servers and checks the heads of their answers."""
 
 import asyncio
+from collections.abc import Callable
 import http
 import time
+import types
 
 import aiohttp
 import attrs
@@ -83,6 +85,7 @@
             auto_decompress=False,
             skip_auto_headers=_NO_AUTO_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None),
+            trace_configs=[_make_trace()],
         )
         # By default, aiohttp sends idempotent requests again after a lost
         # connection. The route decides which requests may be repeated.
@@ -94,6 +97,7 @@
         backend: backend_lib.Backend,
         *,
         last_event_id: str | None = None,
+        on_written: Callable[[], None] | None = None,
     ) -> aiohttp.ClientResponse | Failure:
         """Sends a request and waits for the head of the answer.
 
@@ -101,6 +105,8 @@
           call: Request of the caller.
           backend: Backend server.
           last_event_id: Id of the event after which a stream is resumed.
+          on_written: Called when there is a connection and the request is
+            written to it.
         """
         remaining_s = call.req.deadline_s - time.monotonic()
         if remaining_s <= 0:
@@ -127,6 +133,7 @@
                         _CONNECT_TIMEOUT_S, remaining_s * _CONNECT_TIMEOUT_SHARE
                     ),
                 ),
+                trace_request_ctx=on_written,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -160,6 +167,22 @@
         await self._session.close()
 
 
+def _make_trace() -> aiohttp.TraceConfig:
+    """Returns a trace that calls `on_written` of a request."""
+
+    async def on_headers_sent(
+        _: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        __: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        if context.trace_request_ctx:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(on_headers_sent)
+    return trace
+
+
 def _find_failure(
     call: call_lib.Call, resp: aiohttp.ClientResponse
 ) -> Failure | None:
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -4,8 +4,10 @@
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import functools
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -186,6 +188,35 @@
     assert outcome == "200 complete"
 
 
+@contextlib.contextmanager
+def _unreachable_address() -> Iterator[str]:
+    """Yields an address at which connection attempts hang."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # They fill the queue of connections that nobody accepts.
+        for _ in range(4):
+            sock = stack.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        yield "{}:{}".format(*listener.getsockname())
+
+
+async def test_paused_stream_outlives_unreachable_server() -> None:
+    """A stream must not be given up for a server that can't be connected to.
+
+    The attempt to connect may last longer than a refusal.
+    """
+    with _unreachable_address() as address:
+        async with _system(engines=2, peers=0) as system:
+            reading = asyncio.create_task(_read_stream(system, "a"))
+            await asyncio.sleep(0.2)
+            for number in range(2):
+                system.move_backend(number, address)
+            assert await reading == "200 complete"
+
+
 @pytest.mark.parametrize("leaves_after_s", [1.1, 1.5])
 async def test_caller_that_leaves_while_a_stream_moves_ends_both_runs(
     leaves_after_s: float,
