--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -328,11 +328,12 @@
         self,
         call: call_lib.Call,
         service: route_lib.Service,
-        attempts: attempts_lib.Attempts,
+        attempts: sends_lib.Sends,
     ) -> bool:
         """Returns whether the request may be sent to one more server now."""
         return (
             call.route.may_repeat
+            and not attempts.is_handing_over
             and attempts.arrivals < attempts.max_attempts
             and self._chooser.ready_count(service) > len(attempts.tried)
             and self._repeats.of(service.name).can_repeat(
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -65,8 +65,12 @@
     Load pattern: many streams of a slow engine are silent at once, the other
     engines are full, and the retry budget covers a few of the streams. An
     answer that is given up before another server has the request is lost.
+
+    Attributes:
+      is_handing_over: Whether it is open which of two servers goes on.
     """
 
+    is_handing_over: bool = False
     _later_send: asyncio.Task[Outcome] | None = None
 
     async def hand_over(
@@ -88,7 +92,11 @@
         """
         written = asyncio.Event()
         task = self._later_send = asyncio.create_task(send(written.set))
-        await asyncio.wait({task}, timeout=_REFUSAL_S)
+        self.is_handing_over = True
+        try:
+            await asyncio.wait({task}, timeout=_REFUSAL_S)
+        finally:
+            self.is_handing_over = False
         if task.done() and not _is_success(task.result()):
             self._later_send = None
             drop(task.result())
