Count runs of two servers by themselves

Callers of repeatable requests got a 503, which says that the request has not run and won't, although a server that then crashed may have run it.

Cause: a server's refusal put back whether the request may have run to the value before the send. With two sends at once the earlier refusal arrived after the other server had been lost.

Evidence: tests/test_hand_over.py, new test, on the code before: AssertionError: assert 503 == 502 refused detail='no backend server left; last failure: not executed: status 503'

Change: the sends that may have run are counted.

Result: the test passes.

--- a/hibiscuspass/core/forwarding/attempts.py
+++ b/hibiscuspass/core/forwarding/attempts.py
@@ -24,7 +24,8 @@
       unreachable: Number of sends of which no byte left this process.
       connect_s: Time of these sends in seconds.
       tried: Ids of the backend servers that the request was sent to.
-      may_have_run: Whether a backend server may have run the request.
+      open_runs: Number of sends of which it isn't known that the backend server
+        has not run the request.
       last_backend: Id of the backend server of the last send.
       last_failure: Reason why the last send failed.
     """
@@ -34,10 +35,15 @@
     unreachable: int = 0
     connect_s: float = 0.0
     tried: set[str] = attrs.field(factory=set)
-    may_have_run: bool = False
+    open_runs: int = 0
     last_backend: str | None = None
     last_failure: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a backend server may have run the request."""
+        return self.open_runs > 0
+
     @property
     def arrivals(self) -> int:
         """Number of sends that reached or may have reached a backend server."""
@@ -56,8 +62,13 @@
         self.unreachable += 1
         self.connect_s += elapsed_s
 
+    def on_not_run(self) -> None:
+        """Records that the server of one send has not run the request."""
+        self.open_runs -= 1
+
     def on_send(self, backend_id: str) -> None:
-        """Records a send."""
+        """Records a send; the server may run the request."""
         self.sends += 1
+        self.open_runs += 1
         self.tried.add(backend_id)
         self.last_backend = backend_id
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -280,8 +280,6 @@
         selector = self._selectors.of(service)
         sent_s = time.monotonic()
         attempts.on_send(backend.backend_id)
-        may_have_run_before = attempts.may_have_run
-        attempts.may_have_run = True
         selector.on_sent(call.req, choice, sent_s)
         if not self._monitors.is_needed:
             self._announcer.announce(service, call.req, choice)
@@ -318,7 +316,7 @@
             return sends_lib.Answer(outcome, choice, service, sent_s)
         self._metrics.on_send(outcome.run.value)
         if outcome.run is run_state.RunState.NO:
-            attempts.may_have_run = may_have_run_before
+            attempts.on_not_run()
         if outcome.is_connection_lost:
             self._guard.on_lost(call.req, backend, sent_s)
         self._on_failure(call, backend, attempts, outcome, sent_s)
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -102,6 +102,7 @@
             drop(task.result())
         elif not written.is_set():
             self.on_unreachable(_REFUSAL_S)
+            self.on_not_run()
             self.cancel(drop)
         return self._later_send is not None
 
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -29,6 +29,19 @@
     return web.Response(headers=_headers(req) | {"X-Server-Stamp": "s"})
 
 
+async def _refuse_late(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.5)
+    return web.Response(
+        status=503, headers=_headers(req) | {"X-Not-Executed": "1"}
+    )
+
+
+async def _break_off(req: web.Request) -> web.Response:
+    assert req.transport
+    req.transport.abort()
+    return web.Response()
+
+
 @contextlib.asynccontextmanager
 async def _system(
     target_latency_ms: int, *handlers: _Handler
@@ -67,3 +80,10 @@
     async with _system(30, _hang, _hang, _answer) as system:
         resp = await system.send("/status/x")
         assert resp.status == 200
+
+
+async def test_late_refusal_does_not_hide_another_run() -> None:
+    """A status 503 must not be given if the second server may have run."""
+    async with _system(100, _refuse_late, _break_off) as system:
+        resp = await system.send("/status/x")
+        assert resp.status == 502
