--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import http
+import re
 import time
 import types
 
@@ -33,6 +34,8 @@
         http.HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
+# The library reads these characters in a head, but writes none.
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_DETAIL_CHARS = 200
 # A refusal's body is read to its end, so that its connection can be used again,
 # only if it is short.
@@ -212,6 +215,10 @@
         return Failure(unknown, "success without a signature")
     if "Content-Encoding" in resp.headers:
         return Failure(unknown, "encoded body")
+    if _CONTROL_CHARACTER.search(
+        "\t".join((resp.reason or "", *resp.headers.values()))
+    ):
+        return Failure(unknown, "control character in the head")
     return None
 
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -228,3 +228,31 @@
         await system.wait_until_drawn()
     record = system.store.items["prepaid/press"].value
     assert record == b'{"drawn":110}'
+
+
+@pytest.mark.parametrize("route", ["status", "order", "draft"])
+@pytest.mark.parametrize("status", ["200 O\x01K", "404 Not Fo\x7fund"])
+async def test_control_character_in_a_head_does_not_end_the_connection(
+    route: str, status: str
+) -> None:
+    """A caller must get an answer also if the one of the server is damaged."""
+    async with gateway_system.running() as system:
+        system.backends[0].scripts.append(
+            scripted_backend.answer(status=status)
+        )
+        resp = await system.send(f"/{route}/x", method="POST")
+        assert resp.status == 502
+
+
+@pytest.mark.parametrize("value", ["a\x01b", "a\x7f"])
+async def test_control_character_in_a_header_does_not_end_the_connection(
+    value: str,
+) -> None:
+    """A caller must get an answer also if the one of the server is damaged."""
+    headers = ("X-Server-Stamp: s", "Content-Length: 2", f"X-Note: {value}")
+    async with gateway_system.running() as system:
+        system.backends[0].scripts.append(
+            scripted_backend.answer(headers=headers)
+        )
+        resp = await system.send("/status/x", method="POST")
+        assert resp.status == 502
