--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -1,8 +1,11 @@
 """Sends requests to backend servers and checks the heads of their answers."""
 
 import asyncio
+from collections.abc import Callable
 import http
+import re
 import time
+import types
 
 import aiohttp
 import attrs
@@ -31,6 +34,8 @@
         http.HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
+# The library reads these characters in a head, but writes none.
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_DETAIL_CHARS = 200
 # A refusal's body is read to its end, so that its connection can be used again,
 # only if it is short.
@@ -83,6 +88,7 @@
             auto_decompress=False,
             skip_auto_headers=_NO_AUTO_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None),
+            trace_configs=[_make_trace()],
         )
         # By default, aiohttp sends idempotent requests again after a lost
         # connection. The route decides which requests may be repeated.
@@ -94,6 +100,7 @@
         backend: backend_lib.Backend,
         *,
         last_event_id: str | None = None,
+        on_written: Callable[[], None] | None = None,
     ) -> aiohttp.ClientResponse | Failure:
         """Sends a request and waits for the head of the answer.
 
@@ -101,6 +108,8 @@
           call: Request of the caller.
           backend: Backend server.
           last_event_id: Id of the event after which a stream is resumed.
+          on_written: Called when there is a connection and the request is
+            written to it.
         """
         remaining_s = call.req.deadline_s - time.monotonic()
         if remaining_s <= 0:
@@ -127,6 +136,7 @@
                         _CONNECT_TIMEOUT_S, remaining_s * _CONNECT_TIMEOUT_SHARE
                     ),
                 ),
+                trace_request_ctx=on_written,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -160,6 +170,22 @@
         await self._session.close()
 
 
+def _make_trace() -> aiohttp.TraceConfig:
+    """Returns a trace that calls `on_written` of a request."""
+
+    async def on_headers_sent(
+        _: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        __: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        if context.trace_request_ctx:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(on_headers_sent)
+    return trace
+
+
 def _find_failure(
     call: call_lib.Call, resp: aiohttp.ClientResponse
 ) -> Failure | None:
@@ -189,6 +215,10 @@
         return Failure(unknown, "success without a signature")
     if "Content-Encoding" in resp.headers:
         return Failure(unknown, "encoded body")
+    if _CONTROL_CHARACTER.search(
+        "\t".join((resp.reason or "", *resp.headers.values()))
+    ):
+        return Failure(unknown, "control character in the head")
     return None
 
 
