--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -189,6 +189,8 @@
         return Failure(unknown, "success without a signature")
     if "Content-Encoding" in resp.headers:
         return Failure(unknown, "encoded body")
+    if upstream_protocol.has_control_characters(resp):
+        return Failure(unknown, "control characters in the head")
     return None
 
 
--- a/hibiscuspass/gateway/upstream_protocol.py
+++ b/hibiscuspass/gateway/upstream_protocol.py
@@ -3,6 +3,8 @@
 import asyncio
 import functools
 import http
+import itertools
+import re
 from typing import Any
 
 import aiohttp
@@ -18,6 +20,8 @@
 _MAX_OVERHEAD_BYTES = 64 * 1024
 # Bytes of framing per byte of the body. Chunks of one byte take six bytes.
 _MAX_FRAMING_PER_BYTE = 16
+# The library reads them in a head, but doesn't write them to a caller.
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class MalformedAnswerError(aiohttp.ClientPayloadError):
@@ -85,6 +89,12 @@
     return resp.content_length is not None or "chunked" in codings
 
 
+def has_control_characters(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether a head has control characters, which HTTP forbids."""
+    texts = itertools.chain([resp.reason or ""], *resp.headers.items())
+    return any(map(_CONTROL_CHARACTERS.search, texts))
+
+
 def make_connector(idle_s: float) -> aiohttp.TCPConnector:
     """Returns a connector without a limit on connections.
 
