--- a/hibiscuspass/core/forwarding/stop_schedule.py
+++ b/hibiscuspass/core/forwarding/stop_schedule.py
@@ -16,6 +16,8 @@
 # The same for the rest of the grace period after the last answer.
 _MAX_CLEANUP_S = 1.0
 _CLEANUP_SHARE = 0.125
+# Share of the latter that is left for closing the connections.
+_CLOSE_SHARE = 0.25
 # Time that an answer needs: at least this, and multiples of the target latency.
 _MIN_ANSWER_S = 0.5
 _TARGET_FACTOR = 2.0
@@ -28,10 +30,12 @@
     Attributes:
       accept_until_s: Time after which requests are refused as not run.
       cut_s: Time at which requests that are still in progress end.
+      close_s: Time at which connections are closed at the latest.
     """
 
     accept_until_s: float
     cut_s: float
+    close_s: float
 
     def may_send(
         self, route: route_lib.Route, deadline_s: float, now_s: float
@@ -58,4 +62,5 @@
     return StopSchedule(
         begun_s + min(_MAX_ACCEPT_S, _ACCEPT_SHARE * grace_s),
         begun_s + grace_s - cleanup_s,
+        begun_s + grace_s - _CLOSE_SHARE * cleanup_s,
     )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -156,7 +156,7 @@
         await asyncio.sleep(schedule.accept_until_s - now_s)
         # Requests in progress hold the tokens that they may use. All others
         # are returned now, for use by other routers.
-        await self._return_tokens()
+        await self._return_tokens(schedule.cut_s)
         try:
             async with asyncio.timeout_at(schedule.cut_s + _WRITE_S):
                 await self._idle.wait()
@@ -165,7 +165,7 @@
                 "grace period over, closing connections",
                 in_progress=self._in_progress,
             )
-        await self._return_tokens()
+        await self._return_tokens(schedule.close_s)
         await self._listener.close()
         for task in self._tasks:
             task.cancel()
@@ -196,9 +196,17 @@
         self._repeats.set_config(_repeat_config(cfg))
         _log.info("settings reloaded", needs_restart=needs_restart)
 
-    async def _return_tokens(self) -> None:
-        if self._prepaid:
-            await self._prepaid.close()
+    async def _return_tokens(self, until_s: float) -> None:
+        """Returns the prepaid tokens; waits for the store until `until_s`."""
+        if self._prepaid is None:
+            return
+        returning = asyncio.create_task(self._prepaid.close())
+        self._tasks.append(returning)
+        _, pending = await asyncio.wait(
+            {returning}, timeout=max(0.0, until_s - time.monotonic())
+        )
+        if pending:
+            _log.warning("prepaid tokens not returned in time")
 
     @property
     def _is_ready(self) -> bool:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import itertools
 import json
@@ -10,14 +12,20 @@
 import pathlib
 import signal
 import sys
+import time
 
 from aiohttp import web
 import attrs
 import pytest
 import yaml
 
+from hibiscuspass.backends import txn_store
+from hibiscuspass.core import reason as reason_lib
+from hibiscuspass.core import refusal
+from hibiscuspass.platform import operator_config
 from tests import free_ports
 from tests import gateway_system
+from tests import memory_store
 from tests.soak import system as system_lib
 
 _CALLERS = 20
@@ -225,6 +233,56 @@
     assert runs == {f"{_SLOW_NAME}-0": 1}
 
 
+class _SilentStore(memory_store.MemoryStore):
+    """Store that can stop to answer writes.
+
+    Attributes:
+      is_silent: Whether writes get no answer.
+    """
+
+    is_silent = False
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        deletes: Sequence[str] = (),
+        *,
+        timeout_s: float,
+        lease: txn_store.Lease | None = None,
+    ) -> txn_store.Committed | txn_store.Conflict | refusal.Refusal:
+        """See base class."""
+        if self.is_silent:
+            await asyncio.sleep(timeout_s)
+            return refusal.Refusal(reason_lib.Reason.TIMEOUT, "no answer")
+        return await super().commit(
+            expected, writes, deletes, timeout_s=timeout_s, lease=lease
+        )
+
+
+async def test_silent_store_does_not_prolong_a_stop_beyond_the_grace() -> None:
+    """The process was killed while it waited to return its prepaid tokens."""
+    store = _SilentStore()
+    store.apply({}, {operator_config.KEY: gateway_system.config(10_000)})
+    async with gateway_system.running(store=store, grace_s=2.0) as system:
+        accounts = system.gateway.accounts
+        await system.wait_until(lambda: accounts.available("press") > 500)
+        for backend in system.backends:
+            backend.scripts.append(b"")
+        request = asyncio.create_task(
+            system.send("/draft/x", X_Deadline_Ms="9000")
+        )
+        await system.wait_until(lambda: bool(system.request_heads))
+        stopping = asyncio.create_task(system.gateway.stop())
+        # The first return of tokens has ended.
+        await asyncio.sleep(1.0)
+        store.is_silent = True
+        begun_s = time.monotonic() - 1.0
+        assert (await request).status == 504
+        await stopping
+        assert time.monotonic() - begun_s < 2.0
+
+
 async def test_request_that_is_complete_too_late_is_refused_as_not_run() -> (
     None
 ):
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -23,7 +23,7 @@
 def test_requests_are_cut_in_the_last_sixth_of_the_grace(grace_s):
     """With a short grace, requests were cut although there was time left."""
     schedule = stop_schedule.make_stop_schedule(0.0, grace_s)
-    assert grace_s * 5 / 6 < schedule.cut_s < grace_s
+    assert grace_s * 5 / 6 < schedule.cut_s < schedule.close_s < grace_s
 
 
 @pytest.mark.parametrize("grace_s", [0.5, 1.5, 4.0, 5.0, 8.0, 30.0])
