Refuse replies of the store that aren't as expected (LOST)

What callers saw: requests on kept connections that engines had got ended with a closed connection, some before the answer, some in a stream.

Cause: the client of the store decoded the JSON of a reply outside of its error handling. A reply of another shape (empty body, `[]`, `null`, fields missing or of another type, deep nesting) raised in a follower or the ledger writer, whose failure ends the process at once.

Evidence: six gateway processes, callers on kept connections, 15 s, a store that now and then gives such replies for 1 to 8 s. The new test failed before: "70 failed, 6 passed", with errors such as KeyError, TypeError and RecursionError.

Ruled out: replies that break off, are late or end with an error status, which were refused before (`test_store_replies.py`).

Why it works: the decoding is a part of the call, and a reply that can't be decoded has an unknown outcome, like one that broke off. The callers know that outcome: followers read again, writes are read back.

--- a/hibiscuspass/platform/store.py
+++ b/hibiscuspass/platform/store.py
@@ -13,17 +13,16 @@
 import http
 import json
 from typing import Any
+from typing import TypeVar
 
 import aiohttp
-import structlog
 
 from hibiscuspass.backends import connection_pools
 from hibiscuspass.backends import kv_store
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
-
-_log = structlog.get_logger(__name__)
+from hibiscuspass.platform import store_replies
 
 _NOT_EXECUTED_STATUSES = (
     http.HTTPStatus.TOO_MANY_REQUESTS,
@@ -31,9 +30,6 @@
 )
 # Lease of keys that stay until they are removed.
 _NO_LEASE = 0
-# The store answers 410 if the requested part of its history was discarded.
-_HISTORY_GONE = http.HTTPStatus.GONE
-
 
 # Longest pause within a reply, and longest time of a whole one. A page has
 # about 1 MB, which the slowest links transfer in seconds.
@@ -45,6 +41,9 @@
 _ReadBody = Callable[
     [aiohttp.ClientResponse, asyncio.Timeout], Awaitable[bytes]
 ]
+_T = TypeVar("_T")
+# Decodes the status and the body of a reply.
+_Decode = Callable[[int, Any], _T | refusal.Refusal]
 
 
 class _ReplyTooLongError(Exception):
@@ -62,16 +61,12 @@
         self, key: str, *, timeout_s: float
     ) -> kv_store.ReadResult | refusal.Refusal:
         """See base class."""
-        reply = await self._call("GET", "/v1/kv-key", timeout_s, {"key": key})
-        if isinstance(reply, refusal.Refusal):
-            return reply
-        status, body = reply
-        if status == http.HTTPStatus.NOT_FOUND:
-            return kv_store.ReadResult((), int(body.get("current_rev", 0)))
-        if status != http.HTTPStatus.OK:
-            return _unexpected("kv-key", status)
-        return kv_store.ReadResult(
-            (_decode_item(body),), int(body["current_rev"])
+        return await self._call(
+            "GET",
+            "/v1/kv-key",
+            timeout_s,
+            store_replies.decode_found,
+            {"key": key},
         )
 
     async def get_prefix(
@@ -89,24 +84,22 @@
         entries: list[kv_store.KeyValue] = []
         revision: int | None = None
         while True:
-            reply = await self._call(
+            page = await self._call(
                 "GET",
                 "/v1/kv-range",
                 timeout_s,
+                store_replies.decode_page,
                 query,
                 read_body=functools.partial(_read_large, on_reply=on_reply),
             )
-            if isinstance(reply, refusal.Refusal):
-                return reply
-            status, body = reply
-            if status != http.HTTPStatus.OK:
-                return _unexpected("kv-range", status)
-            entries += map(_decode_item, body["items"])
+            if isinstance(page, refusal.Refusal):
+                return page
+            entries += page.entries
             # The pages are no snapshot. A poll from the revision of the first
             # page reads all changes that were made between the pages.
-            revision = body["current_rev"] if revision is None else revision
-            if not body.get("more_pages") or not body["items"]:
-                return kv_store.ReadResult(tuple(entries), int(revision or 0))
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.entries:
+                return kv_store.ReadResult(tuple(entries), revision)
             query["after"] = entries[-1].key
 
     async def poll(
@@ -125,26 +118,16 @@
             "after": str(after),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        reply = await self._call(
+        return await self._call(
             "GET",
             "/v1/kv-watch",
             timeout_s,
+            functools.partial(store_replies.decode_changes, after),
             query,
             read_body=functools.partial(
                 _read_large, on_reply=on_reply, max_bytes=max_bytes
             ),
         )
-        if isinstance(reply, refusal.Refusal):
-            return reply
-        status, body = reply
-        if status == _HISTORY_GONE:
-            return refusal.Refusal(
-                reason_lib.Reason.STALE, f"history after {after} is gone"
-            )
-        if status != http.HTTPStatus.OK:
-            return _unexpected("kv-watch", status)
-        events = tuple(map(_decode_event, body.get("events", ())))
-        return txn_store.PollResult(events, int(body["current_rev"]))
 
     async def commit(
         self,
@@ -171,52 +154,37 @@
             ],
             "remove": list(deletes),
         }
-        reply = await self._call("POST", "/v1/kv-txn", timeout_s, body=body)
-        if isinstance(reply, refusal.Refusal):
-            return reply
-        status, answer = reply
-        if status == http.HTTPStatus.OK:
-            return txn_store.Committed(int(answer["revision"]))
-        if status == http.HTTPStatus.PRECONDITION_FAILED:
-            items = [
-                _decode_item(i)
-                for i in answer.get("items", ())
-                if i.get("revision")
-            ]
-            return txn_store.Conflict({i.key: i for i in items})
-        if status == http.HTTPStatus.NOT_FOUND and lease:
-            return _lease_ended(lease)
-        return _unexpected("kv-txn", status)
+        return await self._call(
+            "POST",
+            "/v1/kv-txn",
+            timeout_s,
+            functools.partial(store_replies.decode_outcome, lease),
+            body=body,
+        )
 
     async def create_lease(
         self, ttl_s: float, *, timeout_s: float
     ) -> txn_store.Lease | refusal.Refusal:
         """See base class."""
         body = {"ttl_ms": round(ttl_s * 1000)}
-        reply = await self._call("POST", "/v1/kv-lease", timeout_s, body=body)
-        if isinstance(reply, refusal.Refusal):
-            return reply
-        status, answer = reply
-        if status != http.HTTPStatus.OK:
-            return _unexpected("kv-lease", status)
-        return txn_store.Lease(
-            int(answer["lease"]), float(answer["ttl_ms"]) / 1000
+        return await self._call(
+            "POST",
+            "/v1/kv-lease",
+            timeout_s,
+            store_replies.decode_lease,
+            body=body,
         )
 
     async def renew_lease(
         self, lease: txn_store.Lease, *, timeout_s: float
     ) -> txn_store.Lease | refusal.Refusal:
         """See base class."""
-        path = f"/v1/kv-keep/{lease.lease_id}"
-        reply = await self._call("POST", path, timeout_s)
-        if isinstance(reply, refusal.Refusal):
-            return reply
-        status, _ = reply
-        if status == http.HTTPStatus.NOT_FOUND:
-            return _lease_ended(lease)
-        if status != http.HTTPStatus.OK:
-            return _unexpected("kv-keep", status)
-        return lease
+        return await self._call(
+            "POST",
+            f"/v1/kv-keep/{lease.lease_id}",
+            timeout_s,
+            functools.partial(store_replies.decode_renewal, lease),
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -227,14 +195,15 @@
         method: str,
         path: str,
         timeout_s: float,
+        decode: _Decode[_T],
         query: Mapping[str, str] | None = None,
         *,
         body: object = None,
         read_body: _ReadBody | None = None,
-    ) -> tuple[int, Any] | refusal.Refusal:
+    ) -> _T | refusal.Refusal:
         async with self._pools.use() as pool:
             try:
-                return await _exchange(
+                reply = await _exchange(
                     pool.session,
                     method,
                     self._base + path,
@@ -243,6 +212,9 @@
                     body,
                     read_body,
                 )
+                if isinstance(reply, refusal.Refusal):
+                    return reply
+                return decode(*reply)
             except _ReplyTooLongError as exc:
                 return refusal.Refusal(
                     reason_lib.Reason.STALE, f"{path}: {exc}"
@@ -255,13 +227,17 @@
                 TimeoutError,
                 aiohttp.ClientError,
                 OSError,
-                ValueError,
             ) as exc:
                 if isinstance(exc, TimeoutError):
                     self._pools.retire(pool)
                 return refusal.Refusal(
                     reason_lib.Reason.TIMEOUT, f"{path}: {exc or 'no reply'}"
                 )
+            except store_replies.DECODE_ERRORS as exc:
+                return refusal.Refusal(
+                    reason_lib.Reason.TIMEOUT,
+                    f"{path}: malformed reply: {type(exc).__name__}: {exc}",
+                )
 
 
 async def _exchange(
@@ -280,6 +256,7 @@
       TimeoutError: The reply did not arrive in time.
       aiohttp.ClientError: The connection failed.
       OSError: The connection failed.
+      RecursionError: The body is nested too deeply.
       ValueError: The body is no JSON.
     """
     data = None if body is None else json.dumps(body).encode()
@@ -338,33 +315,6 @@
         data += piece
 
 
-def _lease_ended(lease: txn_store.Lease) -> refusal.Refusal:
-    return refusal.Refusal(
-        reason_lib.Reason.STALE, f"lease {lease.lease_id} has ended"
-    )
-
-
-def _unexpected(call: str, status: int) -> refusal.Refusal:
-    _log.warning("unexpected status from the store", call=call, status=status)
-    return refusal.Refusal(
-        reason_lib.Reason.TIMEOUT, f"{call}: status {status}"
-    )
-
-
-def _decode_item(data: Mapping[str, Any]) -> kv_store.KeyValue:
-    value = data.get("value") or ""
-    return kv_store.KeyValue(
-        str(data["key"]), base64.b64decode(value), int(data["revision"])
-    )
-
-
-def _decode_event(data: Mapping[str, Any]) -> kv_store.WatchEvent:
-    if data.get("tombstone"):
-        return kv_store.WatchEvent(data["key"], None, int(data["revision"]))
-    item = _decode_item(data)
-    return kv_store.WatchEvent(item.key, item.value, item.revision)
-
-
 def make_store(address: str) -> StoreClient:
     """Returns a client of the store.
 
--- a/tests/test_store_replies.py
+++ b/tests/test_store_replies.py
@@ -101,3 +101,42 @@
     ) as store:
         reply = await _poll(store)
     assertions.assert_refused(reply, reason_lib.Reason.TIMEOUT)
+
+
+_CALLS = {
+    "get": lambda s: s.get("op/config", timeout_s=1.0),
+    "get_prefix": lambda s: s.get_prefix("op/", timeout_s=1.0),
+    "poll": _poll,
+    "commit": lambda s: s.commit({"k": 1}, {"k": b"v"}, timeout_s=1.0),
+    "create_lease": lambda s: s.create_lease(15.0, timeout_s=1.0),
+}
+
+
+@pytest.mark.parametrize("call", _CALLS)
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"null",
+        b"5",
+        b'"text"',
+        b"[]",
+        b"[1]",
+        b"{}",
+        b"[" * 100_000,
+        b'{"items": null, "events": null, "revision": null}',
+        b'{"items": [5], "events": [5], "current_rev": 9, "lease": "x"}',
+        b'{"items": [{}], "events": [{}], "current_rev": 9, "lease": []}',
+        b'{"value": 5, "revision": [], "events": 5, "current_rev": 9}',
+        b'{"value": "a", "revision": "x", "events": {"a": 1}}',
+        b'{"items": [], "revision": 1e999, "current_rev": 1e999}',
+        b'{"events": [{"key": "k", "tombstone": true}], "current_rev": 9}',
+    ],
+    ids=lambda body: body[:30].decode(),
+)
+async def test_malformed_reply_raised_and_ended_the_process(call, body):
+    """The outcome of a call with such a reply is unknown."""
+    head = f"Content-Length: {len(body)}\r\n"
+    async with _store_that_sends(head, lambda: [body], 0.0) as store:
+        reply = await _CALLS[call](store)
+    assertions.assert_refused(reply, reason_lib.Reason.TIMEOUT)
