--- a/hibiscuspass/gateway/main.py
+++ b/hibiscuspass/gateway/main.py
@@ -29,6 +29,7 @@
 ) -> int:
     import asyncio
 
+    from hibiscuspass.gateway import background_tasks
     from hibiscuspass.gateway import process
     from hibiscuspass.gateway import settings_watch
     from hibiscuspass.platform import store as store_lib
@@ -44,6 +45,7 @@
     )
     writer = log_writer.LogWriter(sys.stdout.fileno())
     logs.configure(cfg.logging, str(gateway.process), writer)
+    gateway.tasks.on_failure = stopped.set
     await gateway.start()
     watch = settings_watch.SettingsWatch(path, gateway.reload)
     loop.add_signal_handler(signal.SIGHUP, watch.load_now)
@@ -51,7 +53,7 @@
     await stopped.wait()
     watch_task.cancel()
     await gateway.stop()
-    return 0
+    return background_tasks.EXIT_FAILED if gateway.tasks.has_failed else 0
 
 
 def _run_file(path: str, started: start_time.StartTime) -> int:
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -1,13 +1,12 @@
 """Assembles, starts and stops one gateway process."""
 
 import asyncio
-from collections.abc import Coroutine
 import hashlib
 import os
 import time
-from typing import Any
 
 from aiohttp import web
+import attrs
 import prometheus_client
 import structlog
 
@@ -24,6 +23,7 @@
 from hibiscuspass.core.prepaid import draw_policy
 from hibiscuspass.core.prepaid import prepaid_accounts as accounts_lib
 from hibiscuspass.gateway import backend_chooser
+from hibiscuspass.gateway import background_tasks
 from hibiscuspass.gateway import dispatch
 from hibiscuspass.gateway import dispatch_announcer
 from hibiscuspass.gateway import fleet as fleet_lib
@@ -67,6 +67,7 @@
 
     Attributes:
       process: Identity of this start of the router.
+      tasks: Tasks that run as long as the process.
       accounts: Prepaid accounts; set by `start`.
     """
 
@@ -81,7 +82,7 @@
         self.process = incarnation.Incarnation(
             cfg.process.name, os.urandom(6).hex()
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = background_tasks.BackgroundTasks(cfg.grace_s)
         self._limits = time_limits.TimeLimits()
         self._in_progress = 0
         self._repeats = repeat_budget.RepeatBudgets(_repeat_config(cfg))
@@ -127,9 +128,9 @@
         )
         await self._listener.start(cfg.listen)
         for work in self._followers.tasks():
-            self._spawn(work)
-        self._spawn(self._report_store_calls())
-        self._spawn(
+            self.tasks.spawn(work)
+        self.tasks.spawn(self._report_store_calls())
+        self.tasks.spawn(
             member_lease.MemberLease(
                 self.process,
                 cfg.listen.peers,
@@ -137,26 +138,30 @@
                 self._followers.on_store_unreachable,
             ).run()
         )
-        self._spawn(self._join_fleet())
+        self.tasks.spawn(self._join_fleet())
         _log.info("started", process=str(self.process))
 
     async def stop(self) -> None:
         """Stops within the grace period; later calls do nothing.
 
-        Accepts requests for a short time, finishes those in progress, and
-        returns the prepaid tokens. Requests that last too long are answered
-        with a failure, or cut if their answers have begun.
+        Accepts requests for a short time, unless a task has failed, finishes
+        those in progress, and returns the prepaid tokens. Requests that last
+        too long are answered with a failure, or cut if their answers have
+        begun.
         """
         if self._limits.stop is not None:
             return
         now_s = time.monotonic()
         schedule = stop_schedule.make_stop_schedule(now_s, self._cfg.grace_s)
+        if self.tasks.has_failed:
+            schedule = attrs.evolve(schedule, accept_until_s=now_s)
         self._limits.on_stop(schedule)
         _log.info("stopping", in_progress=self._in_progress)
         await asyncio.sleep(schedule.accept_until_s - now_s)
         # Requests in progress hold the tokens that they may use. All others
         # are returned now, for use by other routers.
-        await self._return_tokens()
+        if not self.tasks.has_failed:
+            await self._return_tokens()
         try:
             async with asyncio.timeout_at(schedule.cut_s + _WRITE_S):
                 await self._idle.wait()
@@ -167,9 +172,7 @@
             )
         await self._return_tokens()
         await self._listener.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.tasks.cancel()
         if self._guard:
             self._guard.close()
         if self._transport:
@@ -280,11 +283,11 @@
         )
         await self._transport.start()
         self._pubsub.start()
-        self._spawn(self._fleet.run())
-        self._spawn(self._fleet.run_heartbeat())
-        self._spawn(self._guard.run())
-        self._spawn(self._prepaid.run())
-        self._spawn(self._prepaid.return_loans())
+        self.tasks.spawn(self._fleet.run())
+        self.tasks.spawn(self._fleet.run_heartbeat())
+        self.tasks.spawn(self._guard.run())
+        self.tasks.spawn(self._prepaid.run())
+        self.tasks.spawn(self._prepaid.return_loans())
 
     async def _report_store_calls(self) -> None:
         while True:
@@ -351,11 +354,6 @@
             return _reject(http, call, table.version)
         return await self._forwarder.forward(http, call)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_exit_on_failure)
-        self._tasks.append(task)
-
 
 def _reject(
     http: web.BaseRequest, refused: refusal.Refusal, version: int | None = None
@@ -377,14 +375,3 @@
     return repeat_budget.RepeatConfig(
         cfg.repeats.ratio, cfg.repeats.slack, cfg.repeats.window_s
     )
-
-
-def _exit_on_failure(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    exc = task.exception()
-    if exc is not None:
-        _log.error("background task failed", exc_info=exc)
-        # Without one of its tasks the process can't keep its guarantees, so it
-        # ends at once.
-        os._exit(1)
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -134,9 +134,7 @@
     async def crash(self) -> None:
         """Ends the gateway without returning its tokens."""
         gateway = self.gateway
-        for task in gateway._tasks:
-            task.cancel()
-        await asyncio.gather(*gateway._tasks, return_exceptions=True)
+        await gateway.tasks.cancel()
         await gateway._listener.close()
         assert gateway._transport
         assert gateway._pubsub
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -1,12 +1,14 @@
 """Tests of disconnecting callers, stops, reloads, loans and restarts."""
 
 import asyncio
+import os
 import pathlib
 
 import attrs
 import pytest
 
 from hibiscuspass.core.prepaid import store_record
+from hibiscuspass.gateway import background_tasks
 from hibiscuspass.gateway import settings_watch
 from hibiscuspass.settings import gateway as settings_lib
 from tests import gateway_system
@@ -68,6 +70,57 @@
     assert len(system.request_heads) == 1
 
 
+async def test_failed_background_task_ended_requests_in_progress(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They are finished, others are refused, and then the process ends."""
+    exits: list[int] = []
+    monkeypatch.setattr(os, "_exit", exits.append)
+
+    async def fail() -> None:
+        raise RuntimeError("failure of a task")
+
+    async with gateway_system.running(grace_s=6.0) as system:
+        failed = asyncio.Event()
+        system.gateway.tasks.on_failure = failed.set
+        backend = system.backends[0]
+        backend.scripts.append(_HEAD + _EVENT)
+        resp = await system.send("/draft/x", X_Deadline_Ms="9000")
+        system.gateway.tasks.spawn(fail())
+        async with asyncio.timeout(1.0):
+            await failed.wait()
+        stopping = asyncio.create_task(system.gateway.stop())
+        await asyncio.sleep(0.1)
+        late = await system.send("/order/x", method="POST")
+        await backend.send_more(b"0\r\n\r\n")
+        assert await resp.text() == "id: 0\ndata\n\n"
+        async with asyncio.timeout(2.0):
+            await stopping
+    assert late.status == 503
+    assert late.headers["Connection"] == "close"
+    assert len(system.request_heads) == 1
+    assert exits == []
+
+
+async def test_failed_background_task_ends_the_process_after_the_grace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The failure may keep the process from stopping in order."""
+    exits: list[int] = []
+    monkeypatch.setattr(os, "_exit", exits.append)
+
+    async def fail() -> None:
+        raise RuntimeError("failure of a task")
+
+    tasks = background_tasks.BackgroundTasks(0.2)
+    tasks.spawn(fail())
+    await asyncio.sleep(0.1)
+    assert tasks.has_failed
+    assert exits == []
+    await asyncio.sleep(0.2)
+    assert exits == [background_tasks.EXIT_FAILED]
+
+
 async def test_store_outage_is_bridged_by_a_peer() -> None:
     """A router with too few tokens must serve requests while the store is down.
 
