Don't take a caller's pause for an engine's silence (LOST)

Callers that read large streams slowly saw them cut, although their engines were sound.

Cause: the gateway doesn't read an answer while it writes to the caller. The time without an event went on meanwhile, so that the next read timed out at once. The stream was sent to another engine, and given up. If that engine refused it later than 0.2 s afterwards, the stream was cut.

Change: the time of a write to the caller is excluded from the time without an event.

--- a/hibiscuspass/core/forwarding/progress.py
+++ b/hibiscuspass/core/forwarding/progress.py
@@ -85,6 +85,17 @@
         self._limit_s = pause_limit_s(self._route, self._longest_pause_s)
         self.deadline_s = now_s + self._limit_s
 
+    def on_caller_waited_for(self, elapsed_s: float) -> None:
+        """Excludes a time in which the caller did not read.
+
+        Args:
+          elapsed_s: Time since the last event in which the server's answer was
+            not read either, in seconds.
+        """
+        self.deadline_s += elapsed_s
+        if self._last_event_s is not None:
+            self._last_event_s += elapsed_s
+
     def extend(self, now_s: float) -> None:
         """Waits once more for as long, because no other server can be asked."""
         self.deadline_s = now_s + self._limit_s
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -207,7 +207,9 @@
                 watch.on_event(now_s)
                 self._on_event(now_s)
             if whole_events:
+                began_s = time.monotonic()
                 await self._write_events(resp, whole_events)
+                watch.on_caller_waited_for(time.monotonic() - began_s)
         if self._scanner.incomplete_bytes:
             if is_resumed or not upstream_protocol.has_framing(resp):
                 raise upstream_protocol.MalformedAnswerError(
--- /dev/null
+++ b/tests/test_needless_hand_overs.py
@@ -0,0 +1,66 @@
+"""Guards streams whose engines are not silent, but are taken for silent."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from aiohttp import web
+
+from hibiscuspass.platform import operator_config
+from tests import gateway_system
+from tests import memory_store
+from tests.soak import system as system_lib
+
+_EVENTS = 10
+# Larger than the buffers of all connections on the way.
+_EVENT_BYTES = 900_000
+_EVENT_INTERVAL_S = 0.05
+# Longer than the time without an event after which a stream may move.
+_PAUSE_S = 1.5
+
+
+async def _stream(req: web.Request) -> web.StreamResponse:
+    """Sends large events; refuses late to resume a stream."""
+    headers = {"X-Attempt-Id": req.headers["X-Attempt-Id"]}
+    if "Last-Event-Id" in req.headers:
+        await asyncio.sleep(0.3)
+        return web.Response(
+            status=503, headers=headers | {"X-Not-Executed": ""}
+        )
+    resp = web.StreamResponse(headers=headers | {"X-Server-Stamp": "s"})
+    resp.enable_chunked_encoding()
+    await resp.prepare(req)
+    with contextlib.suppress(ConnectionError):
+        for number in range(_EVENTS):
+            text = "x" * _EVENT_BYTES
+            await resp.write(f"id: {number}\ndata: {text}\n\n".encode())
+            await asyncio.sleep(_EVENT_INTERVAL_S)
+        await resp.write_eof()
+    return resp
+
+
+@contextlib.asynccontextmanager
+async def _system() -> AsyncIterator[gateway_system.System]:
+    store = memory_store.MemoryStore()
+    config = gateway_system.config(
+        10_000, target_latency_ms=400, gap_aim_ms=100
+    )
+    store.apply({}, {operator_config.KEY: config})
+    app = web.Application()
+    app.router.add_route("*", "/{tail:.*}", _stream)
+    runner, address = await system_lib.serve(app)
+    async with gateway_system.running(backends=2, store=store) as system:
+        for number in range(2):
+            system.move_backend(number, address)
+        await asyncio.sleep(0.1)
+        yield system
+    await runner.cleanup()
+
+
+async def test_stream_to_a_slow_caller_stays_with_its_engine() -> None:
+    """A time in which the caller doesn't read must not count as silence."""
+    async with _system() as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
+        await asyncio.sleep(_PAUSE_S)
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
