--- a/hibiscuspass/core/forwarding/progress.py
+++ b/hibiscuspass/core/forwarding/progress.py
@@ -4,7 +4,8 @@
 connection, while their liveness check is good; others send a part of a stream
 and stop, or send single bytes without completing an event. Their requests would
 wait until the time limit although other servers are free. Slow servers that
-complete an event now and then must not be given up.
+complete an event now and then must not be given up, and a router that has too
+little processor time must not take its own delay for a silence of all servers.
 """
 
 import math
@@ -20,6 +21,9 @@
 # Multiples of the target pause and of the longest pause of the same stream.
 _PAUSE_FACTOR = 3.0
 _LONGEST_PAUSE_FACTOR = 4.0
+# A process that notices the end of a limit later than this, in seconds, was
+# suspended.
+_MAX_DELAY_S = 0.1
 
 
 def first_event_limit_s(route: route_lib.Route, expected_s: float) -> float:
@@ -73,6 +77,7 @@
         self._limit_s = first_event_limit_s(route, expected_s)
         self._last_event_s: float | None = None
         self._longest_pause_s = 0.0
+        self._was_suspended = False
         self.deadline_s = sent_s + self._limit_s
 
     def on_event(self, now_s: float) -> None:
@@ -83,7 +88,7 @@
             )
         self._last_event_s = now_s
         self._limit_s = pause_limit_s(self._route, self._longest_pause_s)
-        self.deadline_s = now_s + self._limit_s
+        self.extend(now_s)
 
     def on_caller_waited_for(self, elapsed_s: float) -> None:
         """Excludes a time in which the caller did not read.
@@ -96,6 +101,23 @@
         if self._last_event_s is not None:
             self._last_event_s += elapsed_s
 
+    def has_stopped(self, now_s: float) -> bool:
+        """Returns whether there was no progress for too long.
+
+        If this process was suspended meanwhile, the server gets the same time
+        once more, since its events may be late by as much.
+
+        Args:
+          now_s: Time at which the passing of the deadline was noticed.
+        """
+        delay_s = now_s - self.deadline_s
+        if delay_s <= _MAX_DELAY_S or self._was_suspended:
+            return True
+        self._was_suspended = True
+        self.deadline_s = now_s + min(delay_s, self._limit_s)
+        return False
+
     def extend(self, now_s: float) -> None:
         """Waits once more for as long, because no other server can be asked."""
+        self._was_suspended = False
         self.deadline_s = now_s + self._limit_s
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -309,6 +309,12 @@
                 self._failure = exc
                 return received
             except TimeoutError:
+                # Bytes may have arrived together with the timeout.
+                received = self._resp.content._read_nowait(-1)
+                if received or self._resp.content.at_eof():
+                    return received
+                if not self._watch.has_stopped(time.monotonic()):
+                    continue
                 if await self._hand_over():
                     raise NoProgressError from None
                 self._watch.extend(time.monotonic())
--- a/hibiscuspass/gateway/watched_send.py
+++ b/hibiscuspass/gateway/watched_send.py
@@ -41,6 +41,8 @@
             )
             if task.done():
                 break
+            if not watch.has_stopped(time.monotonic()):
+                continue
             if await hand_over():
                 return upstream.Failure(
                     run_state.RunState.UNKNOWN, "no answer in time"
--- a/tests/test_needless_hand_overs.py
+++ b/tests/test_needless_hand_overs.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 import contextlib
+import threading
+import time
 
 from aiohttp import web
 
@@ -32,7 +35,7 @@
     await resp.prepare(req)
     with contextlib.suppress(ConnectionError):
         for number in range(_EVENTS):
-            text = "x" * _EVENT_BYTES
+            text = "x" * (_EVENT_BYTES if req.path == "/ask/large" else 1)
             await resp.write(f"id: {number}\ndata: {text}\n\n".encode())
             await asyncio.sleep(_EVENT_INTERVAL_S)
         await resp.write_eof()
@@ -48,19 +51,55 @@
     store.apply({}, {operator_config.KEY: config})
     app = web.Application()
     app.router.add_route("*", "/{tail:.*}", _stream)
-    runner, address = await system_lib.serve(app)
-    async with gateway_system.running(backends=2, store=store) as system:
-        for number in range(2):
-            system.move_backend(number, address)
-        await asyncio.sleep(0.1)
-        yield system
-    await runner.cleanup()
+    with _serving(app) as address:
+        async with gateway_system.running(backends=2, store=store) as system:
+            for number in range(2):
+                system.move_backend(number, address)
+            await asyncio.sleep(0.1)
+            yield system
+
+
+@contextlib.contextmanager
+def _serving(app: web.Application) -> Iterator[str]:
+    """Serves in another thread, which goes on while the test is suspended."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    runner, address = asyncio.run_coroutine_threadsafe(
+        system_lib.serve(app), loop
+    ).result()
+    try:
+        yield address
+    finally:
+        asyncio.run_coroutine_threadsafe(runner.cleanup(), loop).result()
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+def _suspend_router() -> None:
+    """Blocks the event loop."""
+    time.sleep(_PAUSE_S)
 
 
 async def test_stream_to_a_slow_caller_stays_with_its_engine() -> None:
     """A time in which the caller doesn't read must not count as silence."""
     async with _system() as system:
-        resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
+        resp = await system.send(
+            "/ask/large", X_Deadline_Ms="8000", tokens="10,20"
+        )
         await asyncio.sleep(_PAUSE_S)
         body = await resp.read()
     assert body.count(b"data:") == _EVENTS
+
+
+async def test_stream_through_a_suspended_router_stays_with_its_engine() -> (
+    None
+):
+    """Events that arrived while the router was suspended must count."""
+    async with _system() as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
+        await asyncio.sleep(_EVENT_INTERVAL_S)
+        _suspend_router()
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -49,6 +49,25 @@
         watch.on_event(now_s)
 
 
+def test_delay_of_the_router_is_no_silence_of_its_servers() -> None:
+    """Events may arrive late by the time for which the router was suspended."""
+    watch = progress.ProgressWatch(_STREAM, expected_s=0.3, sent_s=0.0)
+    watch.on_event(1.0)
+    now_s = watch.deadline_s + 0.7
+    assert not watch.has_stopped(now_s)
+    assert watch.deadline_s == pytest.approx(now_s + 0.7)
+    # A router that is always late gives up a silent server all the same.
+    assert watch.has_stopped(watch.deadline_s + 0.7)
+    watch.on_event(10.0)
+    assert not watch.has_stopped(watch.deadline_s + 0.7)
+
+
+def test_silence_is_noticed_in_time_by_a_router_without_delay() -> None:
+    """Small delays of timers must not keep a request at a silent server."""
+    watch = progress.ProgressWatch(_STREAM, expected_s=0.3, sent_s=0.0)
+    assert watch.has_stopped(watch.deadline_s + 0.02)
+
+
 def test_expected_wait_extends_the_limit() -> None:
     """Under load all engines are late, and another one would be as well."""
     idle = progress.first_event_limit_s(_STREAM, expected_s=0.1)
