--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -207,7 +207,9 @@
                 watch.on_event(now_s)
                 self._on_event(now_s)
             if whole_events:
+                began_s = time.monotonic()
                 await self._write_events(resp, whole_events)
+                watch.on_caller_waited_for(time.monotonic() - began_s)
         if self._scanner.incomplete_bytes:
             if is_resumed or not upstream_protocol.has_framing(resp):
                 raise upstream_protocol.MalformedAnswerError(
@@ -307,6 +309,12 @@
                 self._failure = exc
                 return received
             except TimeoutError:
+                # Bytes may have arrived together with the timeout.
+                received = self._resp.content._read_nowait(-1)
+                if received or self._resp.content.at_eof():
+                    return received
+                if not self._watch.has_stopped(time.monotonic()):
+                    continue
                 if await self._hand_over():
                     raise NoProgressError from None
                 self._watch.extend(time.monotonic())
