--- a/hibiscuspass/gateway/main.py
+++ b/hibiscuspass/gateway/main.py
@@ -46,11 +46,16 @@
     logs.configure(cfg.logging, str(gateway.process), writer)
     await gateway.start()
     watch = settings_watch.SettingsWatch(path, gateway.reload)
-    loop.add_signal_handler(signal.SIGHUP, watch.load_now)
+    # The loop resets its own signal handlers before the process ends.
+    signal.signal(
+        signal.SIGHUP,
+        lambda _signum, _frame: loop.call_soon_threadsafe(watch.load_now),
+    )
     watch_task = asyncio.create_task(watch.run())
     await stopped.wait()
     watch_task.cancel()
     await gateway.stop()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return 0
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,23 +7,20 @@
 from collections.abc import Sequence
 import contextlib
 import itertools
-import json
 import os
 import pathlib
 import signal
-import sys
 import time
 
 from aiohttp import web
 import attrs
 import pytest
-import yaml
 
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.platform import operator_config
-from tests import free_ports
+from tests import gateway_program
 from tests import gateway_system
 from tests import memory_store
 from tests.soak import system as system_lib
@@ -333,43 +330,26 @@
     signals: int, tmp_path: pathlib.Path
 ) -> None:
     """A process that can't reach the store must end after SIGTERM, also two."""
-    path = tmp_path / "gateway.yaml"
-    listen = {
-        name: f"127.0.0.1:{free_ports.free_port(adjacent=2)}"
-        for name in ("callers", "ready", "metrics", "peers")
-    }
-    path.write_text(
-        yaml.safe_dump(
-            {
-                "process": {"name": "router-1"},
-                "listen": listen,
-                "store": f"127.0.0.1:{free_ports.free_port()}",
-                "grace_s": 2.0,
-            }
-        )
-    )
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "hibiscuspass.gateway.main",
-        stdout=asyncio.subprocess.PIPE,
-        env={**os.environ, "HIBISCUSPASS_CONFIG": str(path)},
-    )
-    assert process.stdout is not None
-    try:
-        async with asyncio.timeout(20.0):
-            while (
-                json.loads(await process.stdout.readline())["event"]
-                != "started"
-            ):
-                pass
-        async with asyncio.timeout(2.0 + 1.0):
+    async with gateway_program.running(tmp_path) as process:
+        assert process.stdout is not None
+        async with asyncio.timeout(gateway_program.GRACE_S + 1.0):
             for _ in range(signals):
                 process.send_signal(signal.SIGTERM)
                 await asyncio.sleep(0.1)
             await process.stdout.read()
             assert await process.wait() == 0
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+
+
+async def test_reload_at_the_end_of_a_stop_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The default action of SIGHUP ended it with a failure."""
+    async with gateway_program.running(tmp_path) as process:
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(gateway_program.GRACE_S + 1.0):
+            while process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    # `Process.send_signal` may take the return code away.
+                    os.kill(process.pid, signal.SIGHUP)
+                await asyncio.sleep(0.002)
+        assert process.returncode == 0
