--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -210,7 +210,10 @@
         if isinstance(target, refusal.Refusal):
             return False
         return await attempts.hand_over(
-            self._send(call, target, attempts, last_event_id)
+            lambda on_written: self._send(
+                call, target, attempts, last_event_id, on_written
+            ),
+            self._drop,
         )
 
     def abandon(self, attempts: sends_lib.Sends) -> None:
@@ -270,14 +273,13 @@
         target: sends_lib.Target,
         attempts: sends_lib.Sends,
         last_event_id: str | None,
+        on_written: Callable[[], None] | None = None,
     ) -> sends_lib.Outcome:
         service, choice = target.service, target.choice
         backend = choice.backend
         selector = self._selectors.of(service)
         sent_s = time.monotonic()
         attempts.on_send(backend.backend_id)
-        may_have_run_before = attempts.may_have_run
-        attempts.may_have_run = True
         selector.on_sent(call.req, choice, sent_s)
         if not self._monitors.is_needed:
             self._announcer.announce(service, call.req, choice)
@@ -295,7 +297,12 @@
         outcome: aiohttp.ClientResponse | upstream_lib.Failure | None = None
         try:
             outcome = await watched_send.send(
-                self._upstream.send(call, backend, last_event_id=last_event_id),
+                self._upstream.send(
+                    call,
+                    backend,
+                    last_event_id=last_event_id,
+                    on_written=on_written,
+                ),
                 progress.ProgressWatch(call.route, choice.expected_s, sent_s),
                 lambda: self.hand_over(call, attempts, service, last_event_id),
             )
@@ -309,7 +316,7 @@
             return sends_lib.Answer(outcome, choice, service, sent_s)
         self._metrics.on_send(outcome.run.value)
         if outcome.run is run_state.RunState.NO:
-            attempts.may_have_run = may_have_run_before
+            attempts.on_not_run()
         if outcome.is_connection_lost:
             self._guard.on_lost(call.req, backend, sent_s)
         self._on_failure(call, backend, attempts, outcome, sent_s)
@@ -319,11 +326,12 @@
         self,
         call: call_lib.Call,
         service: route_lib.Service,
-        attempts: attempts_lib.Attempts,
+        attempts: sends_lib.Sends,
     ) -> bool:
         """Returns whether the request may be sent to one more server now."""
         return (
             call.route.may_repeat
+            and not attempts.is_handing_over
             and attempts.arrivals < attempts.max_attempts
             and self._chooser.ready_count(service) > len(attempts.tried)
             and self._repeats.of(service.name).can_repeat(
--- a/hibiscuspass/gateway/main.py
+++ b/hibiscuspass/gateway/main.py
@@ -29,6 +29,7 @@
 ) -> int:
     import asyncio
 
+    from hibiscuspass.gateway import background_tasks
     from hibiscuspass.gateway import process
     from hibiscuspass.gateway import settings_watch
     from hibiscuspass.platform import store as store_lib
@@ -44,6 +45,7 @@
     )
     writer = log_writer.LogWriter(sys.stdout.fileno())
     logs.configure(cfg.logging, str(gateway.process), writer)
+    gateway.tasks.on_failure = stopped.set
     await gateway.start()
     watch = settings_watch.SettingsWatch(path, gateway.reload)
     # The loop resets its own signal handlers before the process ends.
@@ -56,7 +58,7 @@
     watch_task.cancel()
     await gateway.stop()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return 0
+    return background_tasks.EXIT_FAILED if gateway.tasks.has_failed else 0
 
 
 def _run_file(path: str, started: start_time.StartTime) -> int:
