--- a/hibiscuspass/gateway/main.py
+++ b/hibiscuspass/gateway/main.py
@@ -48,11 +48,16 @@
     gateway.tasks.on_failure = stopped.set
     await gateway.start()
     watch = settings_watch.SettingsWatch(path, gateway.reload)
-    loop.add_signal_handler(signal.SIGHUP, watch.load_now)
+    # The loop resets its own signal handlers before the process ends.
+    signal.signal(
+        signal.SIGHUP,
+        lambda _signum, _frame: loop.call_soon_threadsafe(watch.load_now),
+    )
     watch_task = asyncio.create_task(watch.run())
     await stopped.wait()
     watch_task.cancel()
     await gateway.stop()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return background_tasks.EXIT_FAILED if gateway.tasks.has_failed else 0
 
 
