--- a/hibiscuspass/gateway/loans.py
+++ b/hibiscuspass/gateway/loans.py
@@ -110,10 +110,11 @@
         workspaces = self._lending.surplus_workspaces(now_s)
         if not workspaces:
             return
+        # The second call may already return other peers than the first one.
         addresses = self._fleet.addresses_by_name()
-        loans = self._lending.return_loans(
-            workspaces, self._fleet.processes_by_name(), now_s
-        )
+        processes = self._fleet.processes_by_name()
+        live = {n: p for n, p in processes.items() if n in addresses}
+        loans = self._lending.return_loans(workspaces, live, now_s)
         await asyncio.gather(
             *(
                 self._return(holder, addresses[holder.name], loan)
--- a/tests/test_loans.py
+++ b/tests/test_loans.py
@@ -1,5 +1,7 @@
 """Tests of routers that borrow the tokens of a large fleet's holders."""
 
+from collections.abc import Iterable
+
 import attrs
 import pytest
 
@@ -202,11 +204,9 @@
     assert before > 0
 
 
-async def test_return_to_a_holder_that_is_lost_meanwhile() -> None:
-    """A failed return must not end the process; the next one repeats it."""
-    peers = _Peers({}, lost=frozenset(_HOLDERS))
-    loans, accounts = _loans(peers)
-    for name in _HOLDERS[:2]:
+def _receive_from(loans: loans_lib.Loans, names: Iterable[str]) -> None:
+    """Lends 900 tokens of each holder to this router."""
+    for name in names:
         lender = _accounts(name)
         lender.ledger.on_committed(
             ledger_view.Transaction({}, {}, {}, {_WORKSPACE: 900}), 1
@@ -219,12 +219,35 @@
         loans.receive(
             lending.lend(incarnation.Incarnation(_OWN, "1"), ask, 0.0)
         )
+
+
+async def test_return_to_a_holder_that_is_lost_meanwhile() -> None:
+    """A failed return must not end the process; the next one repeats it."""
+    peers = _Peers({}, lost=frozenset(_HOLDERS))
+    loans, accounts = _loans(peers)
+    _receive_from(loans, _HOLDERS[:2])
     await loans.return_unused()
     assert accounts.available(_WORKSPACE) == 0
     assert peers.failures == peers.asked
     assert len(peers.asked) == 1
 
 
+async def test_return_while_a_holder_becomes_known_ended_the_process() -> None:
+    """The fleet may change between two questions to it."""
+
+    class _GrowingFleet(_Peers):
+        def addresses_by_name(self) -> dict[str, str]:
+            return {n: n for n in _NAMES if n != _HOLDERS[0]}
+
+    peers = _GrowingFleet({}, lost=frozenset(_HOLDERS))
+    loans, accounts = _loans(peers)
+    _receive_from(loans, _HOLDERS[:1])
+    await loans.return_unused()
+    assert accounts.available(_WORKSPACE) == 0
+    assert len(peers.asked) == 1
+    assert peers.asked[0] in _HOLDERS[1:]
+
+
 def test_first_loan_is_no_larger_than_the_request() -> None:
     """An assumed rate of use must not make a router borrow more.
 
