Ask a keeper before each send to a limited server (LIMIT)

Callers of the platform saw backend servers that had named a `Server-Limit` get many times what they accept from all routers together.

Cause: no router read the header. A limit over all routers can't be divided among them either: with 195 routers a share is less than one request in minutes, and one request for each router is 195 at once.

Change: each limited server has a keeper, a router chosen by rendezvous hashing among the live routers. A router that has been told of a limit asks it for a permit before each send, also of repeats, resumed streams and orders, since all of them go through `BackendChooser`. The keeper gives permits at three quarters of the newest limit, from nothing at first and never two at once. Without a permit the request goes to another server, waits as for a hold-off, or is refused at once with the time until the next permit as `Retry-After`.

Why it holds: two routers that both take themselves for the keeper give 2 x 0.75 of the limit, and one permit each beyond that. A router that takes another one for the keeper passes the question on to it; one that has just started or sees less than half of the known routers gives none.

An answer without the header, to a request sent after the last one with it, ends the limit. Permits go on at the rate, so that a server is asked and can say so. A limit of 0 leaves one request in 30 s for the same reason. Routers tell each other about a new limit, and the keeper about each change, with its age.

--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -80,6 +80,55 @@
     """Confirms a message that asks for nothing."""
 
 
+@attrs.frozen
+class NamedLimit:
+    """Tells what an answer of a backend server said, see `ServerLimit`.
+
+    Attributes:
+      instance: Instance of the server.
+      per_s: Limit in requests per second; None if the answer named none.
+      age_s: Time since the answer in seconds.
+    """
+
+    instance: str
+    per_s: float | None
+    age_s: float
+
+
+@attrs.frozen
+class AskPermit:
+    """Asks the keeper of a backend server whether one request may be sent.
+
+    Attributes:
+      instance: Instance of the server.
+      per_s: Newest limit that the asking router knows.
+      age_s: Time since the server named it, in seconds.
+      is_forwarded: Whether a router that was taken for the keeper asks.
+    """
+
+    instance: str
+    per_s: float
+    age_s: float
+    is_forwarded: bool = False
+
+
+@attrs.frozen
+class Permit:
+    """Answers an `AskPermit` message.
+
+    Attributes:
+      is_granted: Whether one request may be sent.
+      retry_s: If not, time after which the router may ask again, in seconds.
+      per_s: Newest limit that the keeper knows; None if it has ended.
+      age_s: Time since the answer that said so, in seconds.
+    """
+
+    is_granted: bool
+    retry_s: float
+    per_s: float | None
+    age_s: float
+
+
 @attrs.frozen
 class ReportCrashes:
     """Reports requests that were lost in crashes of engines.
--- a/hibiscuspass/gateway/backend_chooser.py
+++ b/hibiscuspass/gateway/backend_chooser.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 import random
 import time
@@ -20,11 +21,15 @@
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.gateway import load_monitors
+from hibiscuspass.gateway import send_permits
+from hibiscuspass.platform import headers
 
 _log = structlog.get_logger(__name__)
 
 # Share of the target latency for which a request waits for a server.
 _MAX_WAIT_SHARE = 0.5
+# Limited servers for which a permit is asked for, before others are chosen.
+_MAX_ASKS = 3
 # A server may send an unusable time with each refusal.
 _UNUSABLE_LOG_INTERVAL_S = 10.0
 
@@ -37,12 +42,14 @@
         backends: backend_set.BackendSet,
         selectors: selectors_lib.BackendSelectors,
         monitors: load_monitors.LoadMonitors,
+        permits: send_permits.SendPermits,
         table: Callable[[], route_table.RouteTable | None],
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._backends = backends
         self._selectors = selectors
         self._monitors = monitors
+        self._permits = permits
         self._table = table
         self._metrics = metrics
         metrics.follow_servers(lambda: backends.count_states(time.monotonic()))
@@ -70,15 +77,29 @@
         """Returns the server to send to; None if there is none.
 
         Waits for a server that wants no requests for a short time if there is
-        no other one.
+        no other one. The caller sends the request at once, since a permit for a
+        limited server is for that time.
         """
+        asks = 0
         while True:
-            choice = await self._choose(call, service, attempts)
+            choice = await self._choose(
+                call, service, attempts, with_limited=asks < _MAX_ASKS
+            )
             if choice is None:
-                if not await self._wait_for_hold_off(call, service, attempts):
+                if not await self._wait_for_server(call, service, attempts):
                     return None
+                asks = 0
+                continue
+            backend = choice.backend
             # A server may hold off or leave while its monitor is asked.
-            elif self._backends.is_ready(choice.backend, time.monotonic()):
+            if not self._backends.is_ready(backend, time.monotonic()):
+                continue
+            if not self._permits.is_limited(backend.instance):
+                return choice
+            asks += 1
+            if await self._permits.ask(
+                backend.instance
+            ) and self._backends.is_ready(backend, time.monotonic()):
                 return choice
 
     @property
@@ -91,14 +112,14 @@
         return len(self._backends.ready(service.name, time.monotonic()))
 
     def retry_after_s(self, service: route_lib.Service) -> float | None:
-        """Returns when a service that holds off may be asked again.
+        """Returns when a service may be asked again.
 
         Returns:
           Time in seconds, spread so that callers don't return together; None if
-          no server holds off.
+          no server holds off or is limited.
         """
         now_s = time.monotonic()
-        end_s = self._backends.hold_off_end_s(service.name, now_s)
+        end_s = self._pause_end_s(service, now_s)
         if end_s is None:
             return None
         return hold_off.duration_s(end_s - now_s, self._rng)
@@ -134,6 +155,21 @@
                 until_in_s=round(until_s - now_s, 2),
             )
 
+    def on_named_limit(
+        self,
+        backend: backend_lib.Backend,
+        named: headers.NamedLimit,
+        sent_s: float,
+    ) -> None:
+        """Records what an answer says of the limit of its server.
+
+        Args:
+          backend: Server that answered.
+          named: What the answer says.
+          sent_s: Time at which the request was sent.
+        """
+        self._permits.on_answer(backend, named, sent_s)
+
     def on_unusable_hold_off(
         self, backend: backend_lib.Backend, values: Sequence[str]
     ) -> None:
@@ -149,7 +185,24 @@
                 suppressed=suppressed,
             )
 
-    async def _wait_for_hold_off(
+    def _pause_end_s(
+        self,
+        service: route_lib.Service,
+        now_s: float,
+        excluded: Collection[str] = (),
+    ) -> float | None:
+        """Returns when the first server may accept requests again."""
+        ends_s = (
+            self._backends.hold_off_end_s(service.name, now_s, excluded),
+            self._permits.pause_end_s(
+                b.instance
+                for b in self._backends.ready(service.name, now_s)
+                if b.backend_id not in excluded
+            ),
+        )
+        return min((s for s in ends_s if s is not None), default=None)
+
+    async def _wait_for_server(
         self,
         call: call_lib.Call,
         service: route_lib.Service,
@@ -161,9 +214,7 @@
           Whether one does in time for the request.
         """
         now_s = time.monotonic()
-        end_s = self._backends.hold_off_end_s(
-            service.name, now_s, attempts.tried
-        )
+        end_s = self._pause_end_s(service, now_s, attempts.tried)
         latest_s = min(
             call.req.deadline_s,
             call.req.received_s + _MAX_WAIT_SHARE * call.route.target_latency_s,
@@ -178,6 +229,8 @@
         call: call_lib.Call,
         service: route_lib.Service,
         attempts: attempts_lib.Attempts,
+        *,
+        with_limited: bool,
     ) -> selector_lib.Choice | None:
         now_s = time.monotonic()
         for backend_id in self._backends.expire(now_s):
@@ -188,6 +241,13 @@
             self._selectors.retain(known)
             self._monitors.retain([b.instance for b in known])
         ready = self._backends.ready(service.name, now_s)
+        count = len(ready)
+        is_out = (
+            self._permits.is_paused
+            if with_limited
+            else self._permits.is_limited
+        )
+        ready = [b for b in ready if not is_out(b.instance)]
         if service.engine is None or not self._monitors.is_needed:
             return self._selectors.choose(
                 service, call.req, ready, attempts.tried, now_s
@@ -195,6 +255,4 @@
         usable = self._selectors.usable(ready, attempts.tried, now_s)
         if not usable:
             return None
-        return await self._monitors.choose(
-            service, call.req, usable, len(ready)
-        )
+        return await self._monitors.choose(service, call.req, usable, count)
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -306,6 +306,8 @@
             self._metrics.on_send("answered")
             if names.is_leaving(outcome.headers):
                 self._chooser.on_leaving(backend, "header of an answer")
+            limit = names.named_limit(outcome.headers)
+            self._chooser.on_named_limit(backend, limit, sent_s)
             return sends_lib.Answer(outcome, choice, service, sent_s)
         self._metrics.on_send(outcome.run.value)
         if outcome.run is run_state.RunState.NO:
@@ -352,6 +354,8 @@
             self._chooser.on_leaving(backend, failure.detail)
         if failure.is_leaving:
             self._chooser.on_leaving(backend, "header of an answer")
+        if failure.limit is not None:
+            self._chooser.on_named_limit(backend, failure.limit, sent_s)
         if failure.hold_off_s is not None:
             self._chooser.on_hold_off(backend, failure.hold_off_s)
         if failure.unusable_hold_offs:
--- a/hibiscuspass/gateway/gateway_metrics.py
+++ b/hibiscuspass/gateway/gateway_metrics.py
@@ -70,6 +70,17 @@
             ["sign"],
             registry=registry,
         )
+        self._permits = prometheus_client.Counter(
+            "hibiscuspass_gateway_permits",
+            "Permits asked for to send to servers that name a limit.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._limited = prometheus_client.Gauge(
+            "hibiscuspass_gateway_limited_servers",
+            "Backend servers that name a limit, as this router knows them.",
+            registry=registry,
+        )
 
     def follow_servers(self, count: CountServers) -> None:
         """Adds the number of backend servers by service and state.
@@ -79,11 +90,28 @@
         """
         self.registry.register(_ServerCollector(count))
 
+    def follow_limited_servers(self, count: Callable[[], int]) -> None:
+        """Adds the number of backend servers that name a limit.
+
+        Args:
+          count: Called each time the metrics are read.
+        """
+        self._limited.set_function(count)
+
+    def on_permit(self, outcome: str) -> None:
+        """Records the reply to a request for a permit.
+
+        Args:
+          outcome: "granted", "denied" or "no_answer".
+        """
+        self._permits.labels(outcome).inc()
+
     def on_server_sign(self, sign: str) -> None:
         """Records what a backend server said in an answer.
 
         Args:
-          sign: "leaving", "hold_off" or "unusable_hold_off".
+          sign: "leaving", "hold_off", "unusable_hold_off", "limit",
+            "limit_ended" or "unusable_limit".
         """
         self._server_signs.labels(sign).inc()
 
--- a/hibiscuspass/gateway/message_types.py
+++ b/hibiscuspass/gateway/message_types.py
@@ -12,6 +12,7 @@
     prepaid_messages.Age,
     forwarding_messages.Load,
     forwarding_messages.Noted,
+    forwarding_messages.Permit,
     forwarding_messages.Proof,
     config_copy.OperatorConfigCopy,
 )
--- a/hibiscuspass/gateway/process.py
+++ b/hibiscuspass/gateway/process.py
@@ -38,6 +38,7 @@
 from hibiscuspass.gateway import prompt_guard
 from hibiscuspass.gateway import refusal_responses
 from hibiscuspass.gateway import request_reader
+from hibiscuspass.gateway import send_permits
 from hibiscuspass.gateway import start_time
 from hibiscuspass.gateway import store_followers
 from hibiscuspass.gateway import store_probe
@@ -252,12 +253,20 @@
         monitors = load_monitors.LoadMonitors(
             self._transport, self._fleet, selectors, self._find_service
         )
+        permits = send_permits.SendPermits(
+            self._transport,
+            self._pubsub,
+            self._fleet,
+            self._metrics,
+            seed,
+        )
         dispatcher = dispatch.Dispatcher(
             self._upstream,
             backend_chooser.BackendChooser(
                 backends,
                 selectors,
                 monitors,
+                permits,
                 lambda: self._followers.config.table,
                 self._metrics,
             ),
--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -60,6 +60,8 @@
       hold_off_s: Time for which the server wants no requests, in seconds; None
         if it names none.
       unusable_hold_offs: Values that name no time.
+      limit: What the server says of its limit; None if no answer of this server
+        came.
     """
 
     run: run_state.RunState
@@ -71,6 +73,7 @@
     is_leaving: bool = False
     hold_off_s: float | None = None
     unusable_hold_offs: tuple[str, ...] = ()
+    limit: names.NamedLimit | None = None
 
 
 class Upstream:
@@ -200,7 +203,13 @@
         call.req.attempt_id
     ):
         return failure
-    failure = attrs.evolve(failure, is_leaving=names.is_leaving(resp.headers))
+    failure = attrs.evolve(
+        failure,
+        is_leaving=names.is_leaving(resp.headers),
+        limit=None
+        if failure.is_misdirected
+        else names.named_limit(resp.headers),
+    )
     if resp.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
         return failure
     return attrs.evolve(
--- a/hibiscuspass/platform/headers.py
+++ b/hibiscuspass/platform/headers.py
@@ -5,6 +5,7 @@
 
 import re
 
+import attrs
 import multidict
 
 # Id of one attempt of a caller; echoed by backend servers.
@@ -34,9 +35,11 @@
 _IS_LEAVING = "1"
 # With status 503: seconds for which a backend server wants no more requests.
 _RETRY_AFTER = "Retry-After"
+# Requests per second that a backend server accepts from all routers together.
+_LIMIT = "Server-Limit"
 _MAX_LOGGED_CHARS = 40
 _MAX_LOGGED_VALUES = 4
-_SECONDS = re.compile(r"[0-9]{1,20}(\.[0-9]{1,20})?", re.ASCII)
+_DECIMAL = re.compile(r"[0-9]{1,20}(\.[0-9]{1,20})?", re.ASCII)
 
 # Headers that callers can't set: they are removed from callers' requests, and
 # the gateway sets those that it uses.
@@ -79,13 +82,46 @@
     """
     values = (v.strip() for v in headers.getall(_RETRY_AFTER, ()))
     return max(
-        (float(v) for v in values if _SECONDS.fullmatch(v)), default=None
+        (float(v) for v in values if _DECIMAL.fullmatch(v)), default=None
     )
 
 
 def unusable_hold_offs(headers: multidict.MultiMapping[str]) -> tuple[str, ...]:
     """Returns the values that `hold_off_s` ignores, each cut to a few bytes."""
-    values = (v.strip() for v in headers.getall(_RETRY_AFTER, ()))
+    return _not_decimal(headers, _RETRY_AFTER)
+
+
+@attrs.frozen
+class NamedLimit:
+    """What an answer says of the limit of its backend server.
+
+    Attributes:
+      per_s: Requests per second that the server accepts from all routers
+        together; None if the answer names no limit.
+      unusable: Values that are no limit, each cut to a few bytes.
+    """
+
+    per_s: float | None = None
+    unusable: tuple[str, ...] = ()
+
+
+def named_limit(headers: multidict.MultiMapping[str]) -> NamedLimit:
+    """Returns the limit that an answer names.
+
+    Of several values the lowest one counts. What is no decimal number is
+    ignored.
+    """
+    values = (v.strip() for v in headers.getall(_LIMIT, ()))
+    return NamedLimit(
+        min((float(v) for v in values if _DECIMAL.fullmatch(v)), default=None),
+        _not_decimal(headers, _LIMIT),
+    )
+
+
+def _not_decimal(
+    headers: multidict.MultiMapping[str], name: str
+) -> tuple[str, ...]:
+    values = (v.strip() for v in headers.getall(name, ()))
     return tuple(
-        v[:_MAX_LOGGED_CHARS] for v in values if not _SECONDS.fullmatch(v)
+        v[:_MAX_LOGGED_CHARS] for v in values if not _DECIMAL.fullmatch(v)
     )[:_MAX_LOGGED_VALUES]
