Spread the requests for permits of large fleets (LIMIT)

Each router asked the keeper of a limited server again when the next permit was due. In the replay, 195 routers with 200 requests a second sent 95 messages a second for a server that accepts 1.2.

The random addition now grows with the number of requests that got no permit since the last one, up to 5 s. The new test bounds them at one per router in 3 s.

--- a/hibiscuspass/core/forwarding/permit_keeper.py
+++ b/hibiscuspass/core/forwarding/permit_keeper.py
@@ -25,8 +25,13 @@
 # Time after the start of a router until it has read the list of routers.
 _SETTLE_S = 3.5
 # Random addition to the time after which a router may ask again, as a share of
-# the time between two permits.
+# the time between two permits, for each request without a permit since the last
+# one. The number of messages per permit grows with the square root of the
+# number of routers that ask.
 _SPREAD_SHARE = 0.5
+# Largest addition that is due to their number. The end of a limit is noticed
+# after it.
+_MAX_SPREAD_S = 5.0
 _MIN_RETRY_S = 0.05
 # Time without a request for a permit after which a server is forgotten.
 _FORGET_AFTER_S = 120.0
@@ -53,6 +58,8 @@
     per_s: float
     updated_s: float
     permits: float = 0.0
+    # Requests without a permit since the last permit.
+    denied: int = 0
 
     def update(self, per_s: float, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.updated_s)
@@ -60,6 +67,21 @@
         self.per_s = per_s
         self.updated_s = now_s
 
+    def take(self) -> bool:
+        """Takes one permit; returns whether there was one."""
+        if self.permits < 1.0:
+            self.denied += 1
+            return False
+        self.permits -= 1.0
+        self.denied = 0
+        return True
+
+    @property
+    def max_spread_s(self) -> float:
+        """Largest random addition to the time until the next permit."""
+        least_s = _SPREAD_SHARE / self.per_s
+        return max(least_s, min(_MAX_SPREAD_S, self.denied * least_s))
+
 
 class PermitKeeper:
     """Gives permits for the servers that this router is the keeper of.
@@ -91,11 +113,11 @@
         if bucket is None:
             bucket = self._buckets[instance] = _Bucket(per_s, now_s)
         bucket.update(per_s, now_s)
-        if bucket.permits >= 1.0:
-            bucket.permits -= 1.0
+        if bucket.take():
             return Decision(True)
-        missing = 1.0 - bucket.permits + self._rng.uniform(0.0, _SPREAD_SHARE)
-        return Decision(False, max(_MIN_RETRY_S, missing / per_s))
+        retry_s = (1.0 - bucket.permits) / per_s
+        spread_s = self._rng.uniform(0.0, bucket.max_spread_s)
+        return Decision(False, max(_MIN_RETRY_S, retry_s + spread_s))
 
     def _forget_idle(self, now_s: float) -> None:
         if now_s < self._forget_s:
--- a/tests/test_limit_replay.py
+++ b/tests/test_limit_replay.py
@@ -41,6 +41,17 @@
     assert replay.rate(7.0, 11.0) <= 1.5 * 1.2
 
 
+def test_keeper_is_not_overloaded() -> None:
+    """All routers of a large fleet have requests for the server."""
+    size = 195
+    replay = _simulation(size, 1.2)
+    replay.per_s = 200.0
+    replay.run(_DURATION_S)
+    # Each router asks every three seconds.
+    assert replay.messages / _END_S <= size / 3
+    assert replay.rate(15.0, _END_S) >= 0.6 * 1.2
+
+
 @pytest.mark.parametrize("size", _SIZES)
 def test_lost_keeper_is_replaced(size: int) -> None:
     """The other routers know it for a while and ask it first."""
