--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -255,7 +255,8 @@
     async def _start(self, resp: aiohttp.ClientResponse) -> None:
         response = web.StreamResponse(status=resp.status, reason=resp.reason)
         _copy_headers(resp, response)
-        if resp.content_length is not None:
+        # A resumed stream may have another length than its first answer said.
+        if resp.content_length is not None and not self._is_stream(resp):
             response.content_length = resp.content_length
         else:
             response.enable_chunked_encoding()
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -1,5 +1,7 @@
 """Tests of streams that break off, and of what follows them."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -94,6 +96,34 @@
         assert await _read(resp) == (_text(0, 1, 2, 3), True)
 
 
+@pytest.mark.parametrize("word", ["part", "longer part", "p"])
+async def test_length_of_a_broken_answer_does_not_limit_its_stream(
+    word: str,
+) -> None:
+    """The events of another server may be longer, or shorter."""
+    rest = _text(2, 3).replace("part", word)
+    async with gateway_system.running(backends=2) as system:
+        scripts = [
+            scripted_backend.answer(
+                headers=(
+                    "X-Server-Stamp: s",
+                    f"Content-Length: {len(_text(0, 1, 2, 3))}",
+                ),
+                body=_text(0, 1).encode(),
+            ),
+            scripted_backend.answer(
+                headers=("X-Server-Stamp: s", f"Content-Length: {len(rest)}"),
+                body=rest.encode(),
+            ),
+        ]
+        for backend in system.backends:
+            backend.close = True
+            backend.scripts = scripts
+        async with asyncio.timeout(5.0):
+            resp = await system.send("/ask/x")
+            assert await _read(resp) == (_text(0, 1) + rest, True)
+
+
 async def test_last_event_of_a_framed_stream_may_lack_its_empty_line() -> None:
     """Chunks show that the stream is complete."""
     async with gateway_system.running() as system:
