--- a/hibiscuspass/core/forwarding/event_scanner.py
+++ b/hibiscuspass/core/forwarding/event_scanner.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events at event boundaries."""
 
+import copy
 import itertools
 import re
 
@@ -56,6 +57,12 @@
         del self._rest[:size]
         return whole_events
 
+    def completes_event(self, data: bytes) -> bool:
+        """Returns whether received bytes would complete an event."""
+        scanner = copy.deepcopy(self)
+        scanner.feed(data)
+        return scanner.events > self.events
+
     def discard_incomplete_event(self) -> None:
         """Discards the bytes of an event that was interrupted."""
         self._rest.clear()
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -1,7 +1,6 @@
 """Copies the answers of backend servers to the caller."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 import math
 import time
@@ -16,6 +15,7 @@
 from hibiscuspass.gateway import request_reader
 from hibiscuspass.gateway import upstream
 from hibiscuspass.gateway import upstream_protocol
+from hibiscuspass.gateway import watched_send
 
 # Headers that aiohttp writes itself.
 _LIBRARY_HEADERS = frozenset({"date", "server", "content-length"})
@@ -102,7 +102,7 @@
         resp: aiohttp.ClientResponse,
         on_event: Callable[[float], None],
         watch: progress.ProgressWatch,
-        hand_over: Callable[[], Awaitable[bool]],
+        hand_over: watched_send.HandOver,
     ) -> str | None:
         """Copies one answer to the caller.
 
@@ -125,7 +125,8 @@
             resp.close()
             return f"status {resp.status} after the start of a stream"
         self._report_event = on_event
-        reader = _Reader(resp, watch, hand_over)
+        scanner = self._scanner if self._is_stream(resp) else None
+        reader = _Reader(resp, watch, hand_over, scanner)
         is_complete = False
         try:
             if self._is_stream(resp):
@@ -274,11 +275,14 @@
         self,
         resp: aiohttp.ClientResponse,
         watch: progress.ProgressWatch,
-        hand_over: Callable[[], Awaitable[bool]],
+        hand_over: watched_send.HandOver,
+        scanner: event_scanner.EventScanner | None,
     ) -> None:
         self._resp = resp
         self._watch = watch
         self._hand_over = hand_over
+        self._scanner = scanner
+        self._received = b""
         self._failure: aiohttp.ClientError | None = None
 
     async def read(self) -> bytes:
@@ -292,6 +296,9 @@
             raise self._failure
         loop = asyncio.get_running_loop()
         while True:
+            if self._received:
+                received, self._received = self._received, b""
+                return received
             remaining_s = self._watch.deadline_s - time.monotonic()
             try:
                 async with asyncio.timeout_at(
@@ -315,10 +322,18 @@
                     return received
                 if not self._watch.has_stopped(time.monotonic()):
                     continue
-                if await self._hand_over():
+                if await self._hand_over(self._has_progressed):
                     raise NoProgressError from None
                 self._watch.extend(time.monotonic())
 
+    def _has_progressed(self) -> bool:
+        """Returns whether the answer has ended or completes an event."""
+        self._received += self._resp.content._read_nowait(-1)
+        return self._resp.content.is_eof() or (
+            self._scanner is not None
+            and self._scanner.completes_event(self._received)
+        )
+
 
 async def _write(response: web.StreamResponse, data: bytes | None) -> None:
     """Writes to the caller; None ends the response."""
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -77,6 +77,7 @@
         self,
         send: Callable[[Callable[[], None]], Coroutine[Any, Any, Outcome]],
         drop: Callable[[Outcome], None],
+        has_progressed: Callable[[], bool],
     ) -> bool:
         """Sends the request to another server beside the silent one.
 
@@ -84,11 +85,12 @@
           send: Sends the request and waits for the head of the answer; calls
             its argument when the request is written to a connection.
           drop: Called with an outcome that can't replace the silent answer.
+          has_progressed: Returns whether the silent server has gone on.
 
         Returns:
           Whether the other server has got the request and has neither refused
-          it nor failed, so that the silent one can be given up. `join` returns
-          the other one's answer.
+          it nor failed, and the silent one has not gone on, so that this one
+          can be given up. `join` returns the other one's answer.
         """
         written = asyncio.Event()
         task = self._later_send = asyncio.create_task(send(written.set))
@@ -104,6 +106,8 @@
             self.on_unreachable(_REFUSAL_S)
             self.on_not_run()
             self.cancel(drop)
+        elif has_progressed():
+            self.cancel(drop)
         return self._later_send is not None
 
     async def join(self) -> Outcome | None:
--- a/hibiscuspass/gateway/watched_send.py
+++ b/hibiscuspass/gateway/watched_send.py
@@ -15,12 +15,15 @@
 from hibiscuspass.gateway import upstream
 
 Outcome = aiohttp.ClientResponse | upstream.Failure
+# Its argument returns whether the silent server has gone on.
+HandOver = Callable[[Callable[[], bool]], Awaitable[bool]]
+_SUCCESS_STATUSES = range(200, 300)
 
 
 async def send(
     exchange: Coroutine[Any, Any, Outcome],
     watch: progress.ProgressWatch,
-    hand_over: Callable[[], Awaitable[bool]],
+    hand_over: HandOver,
 ) -> Outcome:
     """Sends a request; gives it up if no answer begins for too long.
 
@@ -43,7 +46,7 @@
                 break
             if not watch.has_stopped(time.monotonic()):
                 continue
-            if await hand_over():
+            if await hand_over(lambda: _has_succeeded(task)):
                 return upstream.Failure(
                     run_state.RunState.UNKNOWN, "no answer in time"
                 )
@@ -57,6 +60,15 @@
             task.cancel()
 
 
+def _has_succeeded(task: asyncio.Task[Outcome]) -> bool:
+    """Returns whether an answer that may be relayed has begun."""
+    return (
+        task.done()
+        and isinstance(outcome := task.result(), aiohttp.ClientResponse)
+        and outcome.status in _SUCCESS_STATUSES
+    )
+
+
 def _close_answer(task: asyncio.Task[Outcome]) -> None:
     """Closes the connection of an answer that nobody reads."""
     if task.cancelled() or task.exception():
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -13,7 +13,7 @@
 from tests import gateway_system
 from tests import memory_store
 
-_Handler = Callable[[web.Request], Awaitable[web.Response]]
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 def _headers(req: web.Request) -> dict[str, str]:
@@ -36,6 +36,28 @@
     )
 
 
+async def _answer_late(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.4)
+    return await _answer(req)
+
+
+async def _pause(req: web.Request) -> web.StreamResponse:
+    """Sends a stream whose second event comes during a hand-over."""
+    resp = web.StreamResponse(headers=_headers(req) | {"X-Server-Stamp": "s"})
+    resp.enable_chunked_encoding()
+    await resp.prepare(req)
+    for number in range(3):
+        await resp.write(f"id: {number}\ndata: {number}\n\n".encode())
+        await asyncio.sleep(0.0 if number else 1.1)
+    await resp.write_eof()
+    return resp
+
+
+async def _break_off_late(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.3)
+    return await _break_off(req)
+
+
 async def _break_off(req: web.Request) -> web.Response:
     assert req.transport
     req.transport.abort()
@@ -49,7 +71,7 @@
     """Runs a gateway whose servers handle the n-th send by the n-th handler."""
     numbers = itertools.count()
 
-    async def handle(req: web.Request) -> web.Response:
+    async def handle(req: web.Request) -> web.StreamResponse:
         return await handlers[next(numbers)](req)
 
     app = web.Application()
@@ -87,3 +109,18 @@
     async with _system(100, _refuse_late, _break_off) as system:
         resp = await system.send("/status/x")
         assert resp.status == 502
+
+
+async def test_answer_during_a_hand_over_is_not_given_up() -> None:
+    """The second server may fail after the first one has answered."""
+    async with _system(100, _answer_late, _break_off_late) as system:
+        resp = await system.send("/status/x")
+        assert resp.status == 200
+
+
+async def test_event_during_a_hand_over_keeps_the_stream() -> None:
+    """An engine that goes on must not be given up for one that may fail."""
+    async with _system(100, _pause, _break_off_late) as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
+        body = await resp.text()
+    assert body == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(3))
