Keep a refusal that arrives during a hand-over

Callers got a 502, which says that their request may have run, although both servers had refused it.

Cause: the first server's refusal in the 0.2 s of a hand-over was replaced by the failure 'no answer in time'.

Evidence: tests/test_hand_over.py, new test, on the code before: AssertionError: assert 502 == 503 send failed detail='no answer in time' run=unknown sends=2 send failed detail='not executed: status 503' run=no sends=2

Change: the outcome of the first server is used if there is one.

--- a/hibiscuspass/gateway/watched_send.py
+++ b/hibiscuspass/gateway/watched_send.py
@@ -47,6 +47,8 @@
             if not watch.has_stopped(time.monotonic()):
                 continue
             if await hand_over(lambda: _has_succeeded(task)):
+                if task.done() and isinstance(task.result(), upstream.Failure):
+                    break
                 return upstream.Failure(
                     run_state.RunState.UNKNOWN, "no answer in time"
                 )
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -41,6 +41,13 @@
     return await _answer(req)
 
 
+async def _refuse_soon(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.4)
+    return web.Response(
+        status=503, headers=_headers(req) | {"X-Not-Executed": "1"}
+    )
+
+
 async def _pause(req: web.Request) -> web.StreamResponse:
     """Sends a stream whose second event comes during a hand-over."""
     resp = web.StreamResponse(headers=_headers(req) | {"X-Server-Stamp": "s"})
@@ -124,3 +131,13 @@
         resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
         body = await resp.text()
     assert body == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(3))
+
+
+async def test_refusal_during_a_hand_over_is_not_forgotten() -> None:
+    """A request that two servers have refused one after the other may return.
+
+    The status 503 says that it has not run.
+    """
+    async with _system(100, _refuse_soon, _refuse_late) as system:
+        resp = await system.send("/status/x")
+        assert resp.status == 503
