--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -16,6 +16,9 @@
 # Time in which a server that is full refuses a request. Until it is over, both
 # servers may work on the request.
 _REFUSAL_S = 0.2
+# Iterations of the event loop in which a refusal is read that arrived while
+# this process was suspended.
+_LATE_ITERATIONS = 10
 _SUCCESS_STATUSES = range(200, 300)
 
 
@@ -97,6 +100,8 @@
         self.is_handing_over = True
         try:
             await asyncio.wait({task}, timeout=_REFUSAL_S)
+            for _ in range(_LATE_ITERATIONS):
+                await asyncio.sleep(0)
         finally:
             self.is_handing_over = False
         if task.done() and not _is_success(task.result()):
--- a/tests/test_needless_hand_overs.py
+++ b/tests/test_needless_hand_overs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import threading
@@ -14,6 +16,8 @@
 from tests import memory_store
 from tests.soak import system as system_lib
 
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 _EVENTS = 10
 # Larger than the buffers of all connections on the way.
 _EVENT_BYTES = 900_000
@@ -43,14 +47,16 @@
 
 
 @contextlib.asynccontextmanager
-async def _system() -> AsyncIterator[gateway_system.System]:
+async def _system(
+    handler: _Handler = _stream,
+) -> AsyncIterator[gateway_system.System]:
     store = memory_store.MemoryStore()
     config = gateway_system.config(
         10_000, target_latency_ms=400, gap_aim_ms=100
     )
     store.apply({}, {operator_config.KEY: config})
     app = web.Application()
-    app.router.add_route("*", "/{tail:.*}", _stream)
+    app.router.add_route("*", "/{tail:.*}", handler)
     with _serving(app) as address:
         async with gateway_system.running(backends=2, store=store) as system:
             for number in range(2):
@@ -103,3 +109,31 @@
         _suspend_router()
         body = await resp.read()
     assert body.count(b"data:") == _EVENTS
+
+
+async def test_refusal_at_a_suspended_router_keeps_the_stream() -> None:
+    """Another engine's refusal may be read late by a suspended router."""
+    router_loop = asyncio.get_running_loop()
+
+    async def stream(req: web.Request) -> web.StreamResponse:
+        headers = {"X-Attempt-Id": req.headers["X-Attempt-Id"]}
+        if "Last-Event-Id" in req.headers:
+            router_loop.call_soon_threadsafe(time.sleep, 0.3)
+            await asyncio.sleep(0.05)
+            return web.Response(
+                status=503, headers=headers | {"X-Not-Executed": ""}
+            )
+        resp = web.StreamResponse(headers=headers | {"X-Server-Stamp": "s"})
+        resp.enable_chunked_encoding()
+        await resp.prepare(req)
+        with contextlib.suppress(ConnectionError):
+            for number in range(_EVENTS):
+                await resp.write(f"id: {number}\ndata: x\n\n".encode())
+                await asyncio.sleep(0.0 if number else 1.8)
+            await resp.write_eof()
+        return resp
+
+    async with _system(stream) as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
