--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -13,6 +13,8 @@
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.gateway import upstream
 
+# Time in which a server can be connected to.
+_CONNECT_S = 0.2
 # Time in which a server that is full refuses a request. Until it is over, both
 # servers may work on the request.
 _REFUSAL_S = 0.2
@@ -61,6 +63,21 @@
     )
 
 
+async def _wait_until_written(
+    task: asyncio.Task[Outcome], written: asyncio.Event
+) -> None:
+    """Waits until a request is written or its send ends, for a limited time."""
+    writing = asyncio.create_task(written.wait())
+    try:
+        await asyncio.wait(
+            {task, writing},
+            timeout=_CONNECT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        writing.cancel()
+
+
 @attrs.define(eq=False)
 class Sends(attempts_lib.Attempts):
     """Sends of one request, of which a later one may take over.
@@ -99,7 +116,9 @@
         task = self._later_send = asyncio.create_task(send(written.set))
         self.is_handing_over = True
         try:
-            await asyncio.wait({task}, timeout=_REFUSAL_S)
+            await _wait_until_written(task, written)
+            if written.is_set():
+                await asyncio.wait({task}, timeout=_REFUSAL_S)
             for _ in range(_LATE_ITERATIONS):
                 await asyncio.sleep(0)
         finally:
@@ -108,7 +127,7 @@
             self._later_send = None
             drop(task.result())
         elif not written.is_set():
-            self.on_unreachable(_REFUSAL_S)
+            self.on_unreachable(_CONNECT_S)
             self.on_not_run()
             self.cancel(drop)
         elif has_progressed():
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -9,6 +9,9 @@
 
 from aiohttp import web
 
+from hibiscuspass.core import run_state
+from hibiscuspass.gateway import sends as sends_lib
+from hibiscuspass.gateway import upstream
 from hibiscuspass.platform import operator_config
 from tests import gateway_system
 from tests import memory_store
@@ -141,3 +144,16 @@
     async with _system(100, _refuse_soon, _refuse_late) as system:
         resp = await system.send("/status/x")
         assert resp.status == 503
+
+
+async def test_refusal_by_a_distant_server_keeps_the_answer() -> None:
+    """Connecting and the refusal may each take a large part of the limit."""
+
+    async def send(on_written: Callable[[], None]) -> sends_lib.Outcome:
+        await asyncio.sleep(0.15)
+        on_written()
+        await asyncio.sleep(0.15)
+        return upstream.Failure(run_state.RunState.NO, "refused")
+
+    sends = sends_lib.Sends(max_attempts=2)
+    assert not await sends.hand_over(send, lambda _: None, lambda: False)
