--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -13,9 +13,14 @@
 from hibiscuspass.core.forwarding import route as route_lib
 from hibiscuspass.gateway import upstream
 
+# Time in which a server can be connected to.
+_CONNECT_S = 0.2
 # Time in which a server that is full refuses a request. Until it is over, both
 # servers may work on the request.
 _REFUSAL_S = 0.2
+# Iterations of the event loop in which a refusal is read that arrived while
+# this process was suspended.
+_LATE_ITERATIONS = 10
 _SUCCESS_STATUSES = range(200, 300)
 
 
@@ -58,6 +63,21 @@
     )
 
 
+async def _wait_until_written(
+    task: asyncio.Task[Outcome], written: asyncio.Event
+) -> None:
+    """Waits until a request is written or its send ends, for a limited time."""
+    writing = asyncio.create_task(written.wait())
+    try:
+        await asyncio.wait(
+            {task, writing},
+            timeout=_CONNECT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        writing.cancel()
+
+
 @attrs.define(eq=False)
 class Sends(attempts_lib.Attempts):
     """Sends of one request, of which a later one may take over.
@@ -77,6 +97,7 @@
         self,
         send: Callable[[Callable[[], None]], Coroutine[Any, Any, Outcome]],
         drop: Callable[[Outcome], None],
+        has_progressed: Callable[[], bool],
     ) -> bool:
         """Sends the request to another server beside the silent one.
 
@@ -84,26 +105,33 @@
           send: Sends the request and waits for the head of the answer; calls
             its argument when the request is written to a connection.
           drop: Called with an outcome that can't replace the silent answer.
+          has_progressed: Returns whether the silent server has gone on.
 
         Returns:
           Whether the other server has got the request and has neither refused
-          it nor failed, so that the silent one can be given up. `join` returns
-          the other one's answer.
+          it nor failed, and the silent one has not gone on, so that this one
+          can be given up. `join` returns the other one's answer.
         """
         written = asyncio.Event()
         task = self._later_send = asyncio.create_task(send(written.set))
         self.is_handing_over = True
         try:
-            await asyncio.wait({task}, timeout=_REFUSAL_S)
+            await _wait_until_written(task, written)
+            if written.is_set():
+                await asyncio.wait({task}, timeout=_REFUSAL_S)
+            for _ in range(_LATE_ITERATIONS):
+                await asyncio.sleep(0)
         finally:
             self.is_handing_over = False
         if task.done() and not _is_success(task.result()):
             self._later_send = None
             drop(task.result())
         elif not written.is_set():
-            self.on_unreachable(_REFUSAL_S)
+            self.on_unreachable(_CONNECT_S)
             self.on_not_run()
             self.cancel(drop)
+        elif has_progressed():
+            self.cancel(drop)
         return self._later_send is not None
 
     async def join(self) -> Outcome | None:
