--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -23,7 +23,7 @@
 _ENGINES = 6
 _LIMITED = 3
 _REQUESTS_PER_S = 40
-_DURATION_S = 8.0
+_DURATION_S = 10.0
 # From then on, the requests of routers that were told count.
 _CONTACT_S = 3.0
 _TOLD_S = 0.5
