--- a/hibiscuspass/peers/pynng_pubsub.py
+++ b/hibiscuspass/peers/pynng_pubsub.py
@@ -62,7 +62,7 @@
         self._codec = codec
         self._listen = listen
         self._handlers: dict[type, Handler] = {}
-        self._dialers: dict[str, pynng.Dialer] = {}
+        self._dialers: dict[str, pynng.Dialer | None] = {}
         self.on_message: Callable[[incarnation.Incarnation], None] | None = None
         self._publisher: pynng.Pub0 | None = None
         self._subscriber: pynng.Sub0 | None = None
@@ -114,9 +114,7 @@
         for address in self._dialers.keys() - addresses:
             self.disconnect(address)
         for address in addresses - self._dialers.keys():
-            self._dialers[address] = self._subscriber.dial(
-                f"tcp://{publisher_address(address)}", block=False
-            )
+            self._dialers[address] = _dial(self._subscriber, address)
 
     def disconnect(self, address: str) -> None:
         """Closes the connection to a peer; `set_peers` opens a new one."""
@@ -166,6 +164,15 @@
             handler(msg.sender, msg.body)
 
 
+def _dial(socket: pynng.Sub0, address: str) -> pynng.Dialer | None:
+    """Connects to a peer; returns None if its address is malformed."""
+    try:
+        return socket.dial(f"tcp://{publisher_address(address)}", block=False)
+    except (ValueError, pynng.NNGException) as exc:
+        _log.warning("malformed address", peer=address, detail=str(exc))
+        return None
+
+
 def make_pubsub(
     process: incarnation.Incarnation, listen: str, fleet_key: bytes
 ) -> PynngPubSub:
--- a/tests/test_pynng_pubsub.py
+++ b/tests/test_pynng_pubsub.py
@@ -46,6 +46,20 @@
             return
 
 
+async def test_malformed_address_does_not_hide_other_peers() -> None:
+    """It ended the process of each router that read it from the store."""
+    malformed = {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:x", "10.0.0.1:99999"}
+    async with (
+        _running("a") as (sender, address, _),
+        _running("b") as (subscriber, _, received),
+    ):
+        for _ in range(2):
+            subscriber.set_peers({address} | malformed)
+        await _publish_until_received(sender, received)
+        subscriber.set_peers({address})
+        assert received
+
+
 async def test_message_reaches_connected_peers_only() -> None:
     """A router must receive messages only from the peers that it was given."""
     async with (
