--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import time
 from typing import Any
 
 import aiohttp
@@ -16,6 +17,10 @@
 # Time in which a server that is full refuses a request. Until it is over, both
 # servers may work on the request.
 _REFUSAL_S = 0.2
+# A process that notices the end of this time later than this, in seconds, was
+# suspended, and needs a moment for what has arrived meanwhile.
+_MAX_DELAY_S = 0.05
+_DELAYED_REFUSAL_S = 0.05
 _SUCCESS_STATUSES = range(200, 300)
 
 
@@ -94,7 +99,11 @@
         task = self._later_send = asyncio.create_task(send(written.set))
         self.is_handing_over = True
         try:
+            end_s = time.monotonic() + _REFUSAL_S
             await asyncio.wait({task}, timeout=_REFUSAL_S)
+            if time.monotonic() > end_s + _MAX_DELAY_S:
+                # The process was suspended. The outcome may have arrived.
+                await asyncio.wait({task}, timeout=_DELAYED_REFUSAL_S)
         finally:
             self.is_handing_over = False
         if task.done() and not _is_success(task.result()):
--- a/tests/test_needless_hand_overs.py
+++ b/tests/test_needless_hand_overs.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
+import functools
 import threading
 import time
 
@@ -22,11 +23,23 @@
 _PAUSE_S = 1.5
 
 
-async def _stream(req: web.Request) -> web.StreamResponse:
-    """Sends large events; refuses late to resume a stream."""
+# Longer than the time in which an engine refuses a stream.
+_LATE_S = 0.3
+
+
+async def _stream(
+    req: web.Request, resumed: threading.Event
+) -> web.StreamResponse:
+    """Sends events; refuses to resume a stream.
+
+    The events are large, or there is a pause after the first of them. Only in
+    the second case the refusal is in time.
+    """
     headers = {"X-Attempt-Id": req.headers["X-Attempt-Id"]}
+    has_pause = req.path == "/ask/paused"
     if "Last-Event-Id" in req.headers:
-        await asyncio.sleep(0.3)
+        resumed.set()
+        await asyncio.sleep(_LATE_S / 6 if has_pause else _LATE_S)
         return web.Response(
             status=503, headers=headers | {"X-Not-Executed": ""}
         )
@@ -37,20 +50,30 @@
         for number in range(_EVENTS):
             text = "x" * (_EVENT_BYTES if req.path == "/ask/large" else 1)
             await resp.write(f"id: {number}\ndata: {text}\n\n".encode())
-            await asyncio.sleep(_EVENT_INTERVAL_S)
+            is_silent = has_pause and not number
+            await asyncio.sleep(_PAUSE_S if is_silent else _EVENT_INTERVAL_S)
         await resp.write_eof()
     return resp
 
 
 @contextlib.asynccontextmanager
-async def _system() -> AsyncIterator[gateway_system.System]:
+async def _system(
+    resumed: threading.Event,
+) -> AsyncIterator[gateway_system.System]:
+    """Runs a gateway with two engines.
+
+    Args:
+      resumed: Set when a stream is to be resumed.
+    """
     store = memory_store.MemoryStore()
     config = gateway_system.config(
         10_000, target_latency_ms=400, gap_aim_ms=100
     )
     store.apply({}, {operator_config.KEY: config})
     app = web.Application()
-    app.router.add_route("*", "/{tail:.*}", _stream)
+    app.router.add_route(
+        "*", "/{tail:.*}", functools.partial(_stream, resumed=resumed)
+    )
     with _serving(app) as address:
         async with gateway_system.running(backends=2, store=store) as system:
             for number in range(2):
@@ -77,14 +100,14 @@
         loop.close()
 
 
-def _suspend_router() -> None:
+def _suspend_router(duration_s: float) -> None:
     """Blocks the event loop."""
-    time.sleep(_PAUSE_S)
+    time.sleep(duration_s)
 
 
 async def test_stream_to_a_slow_caller_stays_with_its_engine() -> None:
     """A time in which the caller doesn't read must not count as silence."""
-    async with _system() as system:
+    async with _system(threading.Event()) as system:
         resp = await system.send(
             "/ask/large", X_Deadline_Ms="8000", tokens="10,20"
         )
@@ -97,9 +120,22 @@
     None
 ):
     """Events that arrived while the router was suspended must count."""
-    async with _system() as system:
+    async with _system(threading.Event()) as system:
         resp = await system.send("/ask/x", X_Deadline_Ms="8000", tokens="10,20")
         await asyncio.sleep(_EVENT_INTERVAL_S)
-        _suspend_router()
+        _suspend_router(_PAUSE_S)
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
+
+
+async def test_refusal_to_a_suspended_router_is_in_time() -> None:
+    """A refusal that arrived while the router was suspended must count."""
+    resumed = threading.Event()
+    async with _system(resumed) as system:
+        resp = await system.send(
+            "/ask/paused", X_Deadline_Ms="8000", tokens="10,20"
+        )
+        await system.wait_until(resumed.is_set)
+        _suspend_router(_LATE_S)
         body = await resp.read()
     assert body.count(b"data:") == _EVENTS
