--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -191,6 +191,7 @@
         attempts: sends_lib.Sends,
         service: route_lib.Service,
         last_event_id: str | None,
+        is_silent: Callable[[], bool],
     ) -> bool:
         """Sends a request to another server while the one before is silent.
 
@@ -199,6 +200,7 @@
           attempts: Earlier sends of the request; updated.
           service: Service of the silent server.
           last_event_id: Id of the event after which a stream is resumed.
+          is_silent: Returns whether the silent server still is.
 
         Returns:
           Whether another server has the request, so that the silent one can be
@@ -214,6 +216,7 @@
                 call, target, attempts, last_event_id, on_written
             ),
             self._drop,
+            is_silent,
         )
 
     def abandon(self, attempts: sends_lib.Sends) -> None:
@@ -304,7 +307,9 @@
                     on_written=on_written,
                 ),
                 progress.ProgressWatch(call.route, choice.expected_s, sent_s),
-                lambda: self.hand_over(call, attempts, service, last_event_id),
+                lambda is_silent: self.hand_over(
+                    call, attempts, service, last_event_id, is_silent
+                ),
             )
         finally:
             if not isinstance(outcome, aiohttp.ClientResponse):
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards checked requests: reserves tokens, sends, and relays the answer."""
 
 import asyncio
+from collections.abc import Callable
 import time
 
 from aiohttp import web
@@ -141,9 +142,9 @@
         """Relays one answer; returns why it broke off, or None."""
         trial = prompt_trial.PromptTrial()
 
-        async def hand_over() -> bool:
+        async def hand_over(is_silent: Callable[[], bool]) -> bool:
             return relay.can_continue and await self._dispatcher.hand_over(
-                call, attempts, answer.service, relay.last_event_id
+                call, attempts, answer.service, relay.last_event_id, is_silent
             )
 
         def on_event(now_s: float) -> None:
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -27,6 +27,11 @@
 _MAX_EVENT_BYTES = 1 << 20
 
 
+# Sends a request to another server; returns whether that one has it. Its
+# argument returns whether the server before is still silent.
+HandOver = Callable[[Callable[[], bool]], Awaitable[bool]]
+
+
 class NoProgressError(Exception):
     """An answer made no progress for too long."""
 
@@ -102,7 +107,7 @@
         resp: aiohttp.ClientResponse,
         on_event: Callable[[float], None],
         watch: progress.ProgressWatch,
-        hand_over: Callable[[], Awaitable[bool]],
+        hand_over: HandOver,
     ) -> str | None:
         """Copies one answer to the caller.
 
@@ -111,8 +116,7 @@
           on_event: Called with the current monotonic time when complete events
             of this answer have arrived.
           watch: Follows the progress of this answer.
-          hand_over: Sends the request to another server; returns whether that
-            one has it.
+          hand_over: Sends the request to another server.
 
         Returns:
           Why the answer broke off; None if it is complete.
@@ -275,7 +279,7 @@
         self,
         resp: aiohttp.ClientResponse,
         watch: progress.ProgressWatch,
-        hand_over: Callable[[], Awaitable[bool]],
+        hand_over: HandOver,
     ) -> None:
         self._resp = resp
         self._watch = watch
@@ -311,15 +315,19 @@
                 return received
             except TimeoutError:
                 # Bytes may have arrived together with the timeout.
-                received = self._resp.content._read_nowait(-1)
-                if received or self._resp.content.at_eof():
-                    return received
+                if not self._is_silent():
+                    return self._resp.content._read_nowait(-1)
                 if not self._watch.has_stopped(time.monotonic()):
                     continue
-                if await self._hand_over():
+                if await self._hand_over(self._is_silent):
                     raise NoProgressError from None
                 self._watch.extend(time.monotonic())
 
+    def _is_silent(self) -> bool:
+        content = self._resp.content
+        has_broken_off = content.exception() is not None
+        return has_broken_off or not (content._buffer or content.is_eof())
+
 
 async def _write(response: web.StreamResponse, data: bytes | None) -> None:
     """Writes to the caller; None ends the response."""
--- a/hibiscuspass/gateway/sends.py
+++ b/hibiscuspass/gateway/sends.py
@@ -82,6 +82,7 @@
         self,
         send: Callable[[Callable[[], None]], Coroutine[Any, Any, Outcome]],
         drop: Callable[[Outcome], None],
+        is_silent: Callable[[], bool],
     ) -> bool:
         """Sends the request to another server beside the silent one.
 
@@ -89,11 +90,13 @@
           send: Sends the request and waits for the head of the answer; calls
             its argument when the request is written to a connection.
           drop: Called with an outcome that can't replace the silent answer.
+          is_silent: Returns whether the silent server still is.
 
         Returns:
           Whether the other server has got the request and has neither refused
           it nor failed, so that the silent one can be given up. `join` returns
-          the other one's answer.
+          the other one's answer. The other send is cancelled if the silent
+          server goes on.
         """
         written = asyncio.Event()
         task = self._later_send = asyncio.create_task(send(written.set))
@@ -113,6 +116,8 @@
             self.on_unreachable(_REFUSAL_S)
             self.on_not_run()
             self.cancel(drop)
+        elif not is_silent():
+            self.cancel(drop)
         return self._later_send is not None
 
     async def join(self) -> Outcome | None:
--- a/hibiscuspass/gateway/watched_send.py
+++ b/hibiscuspass/gateway/watched_send.py
@@ -20,7 +20,7 @@
 async def send(
     exchange: Coroutine[Any, Any, Outcome],
     watch: progress.ProgressWatch,
-    hand_over: Callable[[], Awaitable[bool]],
+    hand_over: Callable[[Callable[[], bool]], Awaitable[bool]],
 ) -> Outcome:
     """Sends a request; gives it up if no answer begins for too long.
 
@@ -28,7 +28,7 @@
       exchange: Sends the request and waits for the head of the answer.
       watch: Follows the progress of the answer.
       hand_over: Sends the request to another server; returns whether that one
-        has it.
+        has it. Its argument returns whether this one is still silent.
     """
     task = asyncio.create_task(exchange)
     is_awaited = False
@@ -43,7 +43,7 @@
                 break
             if not watch.has_stopped(time.monotonic()):
                 continue
-            if await hand_over():
+            if await hand_over(lambda: not _has_answered(task)):
                 return upstream.Failure(
                     run_state.RunState.UNKNOWN, "no answer in time"
                 )
@@ -57,6 +57,13 @@
             task.cancel()
 
 
+def _has_answered(task: asyncio.Task[Outcome]) -> bool:
+    if not task.done() or task.cancelled() or task.exception():
+        return False
+    outcome = task.result()
+    return isinstance(outcome, aiohttp.ClientResponse) and outcome.ok
+
+
 def _close_answer(task: asyncio.Task[Outcome]) -> None:
     """Closes the connection of an answer that nobody reads."""
     if task.cancelled() or task.exception():
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -29,6 +29,11 @@
     return web.Response(headers=_headers(req) | {"X-Server-Stamp": "s"})
 
 
+async def _answer_late(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.4)
+    return await _answer(req)
+
+
 async def _refuse_late(req: web.Request) -> web.Response:
     await asyncio.sleep(0.5)
     return web.Response(
@@ -87,3 +92,12 @@
     async with _system(100, _refuse_late, _break_off) as system:
         resp = await system.send("/status/x")
         assert resp.status == 502
+
+
+async def test_answer_that_arrives_while_another_server_is_asked_is_kept() -> (
+    None
+):
+    """A slow server must not be given up once it has answered."""
+    async with _system(100, _answer_late, _refuse_late) as system:
+        resp = await system.send("/status/x")
+        assert resp.status == 200
--- a/tests/test_needless_hand_overs.py
+++ b/tests/test_needless_hand_overs.py
@@ -23,6 +23,8 @@
 _PAUSE_S = 1.5
 
 
+# Pauses after the first event by the path of the request.
+_PAUSES_S = {"/ask/paused": _PAUSE_S, "/ask/late": 1.1}
 # Longer than the time in which an engine refuses a stream.
 _LATE_S = 0.3
 
@@ -32,14 +34,14 @@
 ) -> web.StreamResponse:
     """Sends events; refuses to resume a stream.
 
-    The events are large, or there is a pause after the first of them. Only in
-    the second case the refusal is in time.
+    The path tells whether the events are large, whether there is a pause after
+    the first of them, and whether the refusal is in time.
     """
     headers = {"X-Attempt-Id": req.headers["X-Attempt-Id"]}
-    has_pause = req.path == "/ask/paused"
     if "Last-Event-Id" in req.headers:
         resumed.set()
-        await asyncio.sleep(_LATE_S / 6 if has_pause else _LATE_S)
+        is_in_time = req.path == "/ask/paused"
+        await asyncio.sleep(_LATE_S / 6 if is_in_time else _LATE_S)
         return web.Response(
             status=503, headers=headers | {"X-Not-Executed": ""}
         )
@@ -50,8 +52,8 @@
         for number in range(_EVENTS):
             text = "x" * (_EVENT_BYTES if req.path == "/ask/large" else 1)
             await resp.write(f"id: {number}\ndata: {text}\n\n".encode())
-            is_silent = has_pause and not number
-            await asyncio.sleep(_PAUSE_S if is_silent else _EVENT_INTERVAL_S)
+            pause_s = 0.0 if number else _PAUSES_S.get(req.path, 0.0)
+            await asyncio.sleep(pause_s or _EVENT_INTERVAL_S)
         await resp.write_eof()
     return resp
 
@@ -139,3 +141,11 @@
         _suspend_router(_LATE_S)
         body = await resp.read()
     assert body.count(b"data:") == _EVENTS
+
+
+async def test_stream_that_goes_on_in_time_stays_with_its_engine() -> None:
+    """An engine may go on while another one is asked."""
+    async with _system(threading.Event()) as system:
+        resp = await system.send("/ask/late", X_Deadline_Ms="8000")
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
