--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -64,6 +64,23 @@
     return resp
 
 
+async def _dribble(req: web.Request) -> web.StreamResponse:
+    """Sends bytes that complete no event."""
+    resp = web.StreamResponse(headers=_headers(req) | {"X-Server-Stamp": "s"})
+    resp.enable_chunked_encoding()
+    await resp.prepare(req)
+    while True:
+        await resp.write(b"x")
+        await asyncio.sleep(0.05)
+
+
+async def _stream(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.1)
+    return web.Response(
+        headers=_headers(req) | {"X-Server-Stamp": "s"}, text="id: 0\ndata\n\n"
+    )
+
+
 async def _break_off_late(req: web.Request) -> web.Response:
     await asyncio.sleep(0.3)
     return await _break_off(req)
@@ -187,3 +204,10 @@
     busy.cancel()
     sends.cancel(lambda _: None)
     assert elapsed_s < 0.4
+
+
+async def test_bytes_that_complete_no_event_do_not_keep_a_stream() -> None:
+    """A server may send bytes for ever while another one is free."""
+    async with _system(100, _dribble, _stream) as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="6000", tokens="10,20")
+        assert await resp.text() == "id: 0\ndata\n\n"
