Pause between reads of a store that refuses all polls

It costs processor time of small routers and priced calls.

Cause: a refused poll leads to a full read at once, and the next poll to the next read, without a pause.

Evidence: the new test failed before: "assert 36193 <= 6", reads in 1.2 s in one process.

Why it works: the read after a refused poll still follows at once, since the history may be gone only once. A second one waits until 0.5 s after the read before last, well within the time in which a configuration must be used.

--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -2,10 +2,12 @@
 
 import abc
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
+import math
 import random
 import time
 from typing import Any
@@ -41,6 +43,9 @@
 # Size of an entry in a reply: its value in base64 and its other fields.
 _ENCODED_BYTES_PER_BYTE = 4 / 3
 _ENTRY_BYTES = 250
+# Shortest time from a read to the second one after it. The next one follows a
+# refused poll at once.
+_MIN_TWO_READS_S = 0.5
 # Pauses between reads while the store is unreachable. The longest one is short
 # compared to the time within which a new configuration must be used.
 _BACKOFF = backoff_lib.BackoffConfig(base_s=0.3, factor=2.0, max_s=1.0)
@@ -191,7 +196,12 @@
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         failures = 0
+        reads_s = collections.deque([-math.inf, -math.inf], maxlen=2)
         while True:
+            # A store that answers reads may refuse all polls.
+            wait_s = reads_s[0] + _MIN_TWO_READS_S - self._monotonic_s()
+            await asyncio.sleep(max(0.0, wait_s))
+            reads_s.append(self._monotonic_s())
             result = await self._read_or_copy()
             if isinstance(result, refusal.Refusal):
                 self._set_reachable(False, result)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -128,6 +128,24 @@
     assert recorder.reachability == [True]
 
 
+async def test_store_that_refused_all_polls_was_read_without_a_pause() -> None:
+    """The reads took all of the processor time that requests need."""
+
+    class _RefusingStore(_Store):
+        async def poll(self, prefix, after, **options):
+            return refusal.Refusal(reason_lib.Reason.STALE, "gone")
+
+    store, recorder = _RefusingStore(), _Recorder()
+    store.apply({}, {"op/config": b"1"})
+    task = asyncio.create_task(_follower(store, recorder).run())
+    await asyncio.sleep(0.5)
+    store.apply({}, {"op/config": b"2"})
+    await asyncio.sleep(0.7)
+    task.cancel()
+    assert recorder.values[-1] == b"2"
+    assert store.reads <= 6
+
+
 async def test_reads_during_an_outage_are_few() -> None:
     """Retries in an outage must be few, since refused calls are charged too.
 
