--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -38,9 +38,10 @@
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_DETAIL_CHARS = 200
 # A refusal's body is read to its end, so that its connection can be used again,
-# only if it is short.
+# only if it is short. A refusal must be known soon, since a silent stream is
+# given up for a server that doesn't refuse it.
 _MAX_DISCARDED_BYTES = 64 * 1024
-_DISCARD_TIMEOUT_S = 0.2
+_DISCARD_TIMEOUT_S = 0.05
 _ERRORS_WITH_OWN_TEXT = (
     OSError,
     aiohttp.ClientConnectionError,
--- a/tests/test_needless_hand_overs.py
+++ b/tests/test_needless_hand_overs.py
@@ -24,11 +24,33 @@
 
 
 # Pauses after the first event by the path of the request.
-_PAUSES_S = {"/ask/paused": _PAUSE_S, "/ask/late": 1.1}
+_PAUSES_S = {
+    "/ask/paused": _PAUSE_S,
+    "/ask/parts": _PAUSE_S,
+    "/ask/late": 1.1,
+}
 # Longer than the time in which an engine refuses a stream.
 _LATE_S = 0.3
 
 
+async def _refuse_in_parts(req: web.Request) -> web.StreamResponse:
+    """Sends the body of a refusal later than its head."""
+    resp = web.StreamResponse(
+        status=503,
+        headers={
+            "X-Attempt-Id": req.headers["X-Attempt-Id"],
+            "X-Not-Executed": "",
+            "Content-Length": "2",
+        },
+    )
+    await resp.prepare(req)
+    resp._payload_writer.send_headers()
+    await asyncio.sleep(_LATE_S)
+    with contextlib.suppress(ConnectionError):
+        await resp.write(b"no")
+    return resp
+
+
 async def _stream(
     req: web.Request, resumed: threading.Event
 ) -> web.StreamResponse:
@@ -40,6 +62,8 @@
     headers = {"X-Attempt-Id": req.headers["X-Attempt-Id"]}
     if "Last-Event-Id" in req.headers:
         resumed.set()
+        if req.path == "/ask/parts":
+            return await _refuse_in_parts(req)
         is_in_time = req.path == "/ask/paused"
         await asyncio.sleep(_LATE_S / 6 if is_in_time else _LATE_S)
         return web.Response(
@@ -149,3 +173,11 @@
         resp = await system.send("/ask/late", X_Deadline_Ms="8000")
         body = await resp.read()
     assert body.count(b"data:") == _EVENTS
+
+
+async def test_refusal_counts_before_its_body_has_arrived() -> None:
+    """The head of a refusal says that the engine won't resume the stream."""
+    async with _system(threading.Event()) as system:
+        resp = await system.send("/ask/parts", X_Deadline_Ms="8000")
+        body = await resp.read()
+    assert body.count(b"data:") == _EVENTS
