--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -259,7 +259,7 @@
         # A resumed stream may have another length than its first answer said.
         if resp.content_length is not None and not self._is_stream(resp):
             response.content_length = resp.content_length
-        else:
+        elif self._http.version >= aiohttp.HttpVersion11:
             response.enable_chunked_encoding()
         self.response = response
         self.status = resp.status
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -137,3 +137,29 @@
         )
         resp = await system.send("/draft/x")
         assert await _read(resp) == (body.decode(), True)
+
+
+async def test_caller_that_knows_no_chunks_gets_a_stream_until_the_end() -> (
+    None
+):
+    """Chunks are forbidden in answers to HTTP/1.0."""
+    body = _text(0, 1).encode()
+    async with gateway_system.running() as system:
+        system.backends[0].scripts = [
+            scripted_backend.answer(
+                headers=("X-Server-Stamp: s", f"Content-Length: {len(body)}"),
+                body=body,
+            )
+        ]
+        address = system.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            f"GET /ask/x HTTP/1.0\r\nHost: {gateway_system.HOST}\r\n"
+            f"X-Attempt-Id: a1\r\nX-Token-Counts: 100,50\r\n"
+            f"Authorization: Bearer {gateway_system.KEY}\r\n\r\n".encode()
+        )
+        async with asyncio.timeout(5.0):
+            head, _, received = (await reader.read()).partition(b"\r\n\r\n")
+        writer.close()
+    assert b" 200 OK" in head
+    assert received == body
