--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import time
 
 from aiohttp import web
 
@@ -63,6 +64,23 @@
     return resp
 
 
+async def _dribble(req: web.Request) -> web.StreamResponse:
+    """Sends bytes that complete no event."""
+    resp = web.StreamResponse(headers=_headers(req) | {"X-Server-Stamp": "s"})
+    resp.enable_chunked_encoding()
+    await resp.prepare(req)
+    while True:
+        await resp.write(b"x")
+        await asyncio.sleep(0.05)
+
+
+async def _stream(req: web.Request) -> web.Response:
+    await asyncio.sleep(0.1)
+    return web.Response(
+        headers=_headers(req) | {"X-Server-Stamp": "s"}, text="id: 0\ndata\n\n"
+    )
+
+
 async def _break_off_late(req: web.Request) -> web.Response:
     await asyncio.sleep(0.3)
     return await _break_off(req)
@@ -157,3 +175,39 @@
 
     sends = sends_lib.Sends(max_attempts=2)
     assert not await sends.hand_over(send, lambda _: None, lambda: False)
+
+
+def _block_loop() -> None:
+    time.sleep(0.02)
+
+
+async def test_busy_router_does_not_let_two_servers_work_for_long() -> None:
+    """The decision must not wait for many iterations of a slow event loop."""
+    written_s = 0.0
+
+    async def send(on_written: Callable[[], None]) -> sends_lib.Outcome:
+        nonlocal written_s
+        written_s = time.monotonic()
+        on_written()
+        await asyncio.sleep(60.0)
+        return upstream.Failure(run_state.RunState.UNKNOWN, "")
+
+    async def work() -> None:
+        while True:
+            _block_loop()
+            await asyncio.sleep(0)
+
+    sends = sends_lib.Sends(max_attempts=2)
+    busy = asyncio.create_task(work())
+    assert await sends.hand_over(send, lambda _: None, lambda: False)
+    elapsed_s = time.monotonic() - written_s
+    busy.cancel()
+    sends.cancel(lambda _: None)
+    assert elapsed_s < 0.4
+
+
+async def test_bytes_that_complete_no_event_do_not_keep_a_stream() -> None:
+    """A server may send bytes for ever while another one is free."""
+    async with _system(100, _dribble, _stream) as system:
+        resp = await system.send("/ask/x", X_Deadline_Ms="6000", tokens="10,20")
+        assert await resp.text() == "id: 0\ndata\n\n"
