--- a/review/common_2/stand_ins.py
+++ b/review/common_2/stand_ins.py
@@ -232,7 +232,10 @@
     }
     if "chunked" in reply.headers.get("transfer-encoding", ""):
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                return
+            size = int(line.split(b";")[0], 16)
             data = await reader.readexactly(size + 2)
             reply.body += data[:-2]
             if not size:
