--- a/review/common_2/stand_ins.py
+++ b/review/common_2/stand_ins.py
@@ -51,7 +51,7 @@
 def free_port() -> int:
     """Returns a port that is free now, and so is the next one."""
     while True:
-        port = random.randrange(20_000, 32_000, 2)
+        port = random.randrange(11_000, 19_000, 2)
         with (
             contextlib.suppress(OSError),
             socket.socket() as first,
@@ -419,6 +419,12 @@
         )
         return reply.status == 200
 
+    def pid(self, number: int) -> int:
+        """Returns the process id of a gateway."""
+        process = self._processes[number]
+        assert process is not None
+        return process.pid
+
     def signal(self, number: int, signum: signal.Signals) -> None:
         """Sends a signal to a gateway that this deployment has started."""
         self.record.write(f"{signum.name} to edge-{number}")
@@ -471,6 +477,10 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await case(deployment, record)
+        except Exception:
+            for number in range(len(deployment.ports)):
+                record.write(f"edge-{number}: {deployment.log(number)[-600:]}")
+            raise
         finally:
             await deployment.close()
 
