--- a/review/common_2/stand_ins.py
+++ b/review/common_2/stand_ins.py
@@ -404,9 +404,12 @@
 
     async def wait_ready(self, number: int) -> None:
         """Waits until a gateway says that it is ready."""
-        async with asyncio.timeout(_READY_TIMEOUT_S):
-            while not await self.is_ready(number):
-                await asyncio.sleep(0.05)
+        end_s = time.monotonic() + _READY_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if await self.is_ready(number):
+                return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"edge-{number} is not ready")
 
     async def is_ready(self, number: int) -> bool:
         """Returns whether a gateway says that it is ready."""
