Treat framed streams that end inside an event as broken off

What callers saw: a server stopped inside an event and ended its body as usual, with its last chunk.

Cause: the rest of an event was a failure only in a stream without a length and chunks, or in a resumed one. Otherwise it was relayed and the response ended as complete, because the last event "may lack the empty line at its end". Framing only shows that the server's HTTP library has ended the body.

Change: a stream that ends inside an event has broken off, however it is framed. Empty lines and comments belong to no event: they are relayed after the last one and not charged. `\n\r\n` ends an event too, since an unrecognized end would now be a failure.

test_last_event_of_a_framed_stream_may_lack_its_empty_line held the opposite. Its replacement checks the same stream, and each other place inside an event, with a stricter outcome.

--- a/hibiscuspass/core/forwarding/event_scanner.py
+++ b/hibiscuspass/core/forwarding/event_scanner.py
@@ -4,11 +4,12 @@
 import itertools
 import re
 
-_BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_MAX_BOUNDARY_BYTES = 4
+# The empty line after an event, with the end of the line before it.
+_BOUNDARY = re.compile(rb"\n\r?\n|\r\r")
+_MAX_BOUNDARY_BYTES = 3
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
-# A block whose lines all begin with a colon is a comment, no event.
-_COMMENT = re.compile(rb"(?::[^\r\n]*(?:\r\n|\n|\r))+(?:\r\n|\n|\r)")
+# Empty lines and comments, which begin with a colon, belong to no event.
+_NO_EVENT = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*+")
 
 
 class EventScanner:
@@ -25,19 +26,19 @@
         self._rest = bytearray()
 
     @property
-    def incomplete_event(self) -> bytes:
-        """Received bytes of an event that is not complete yet."""
-        return bytes(self._rest)
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that is not complete yet."""
+        return _NO_EVENT.fullmatch(self._rest) is None
 
     @property
     def incomplete_bytes(self) -> int:
-        """Number of received bytes of an event that is not complete yet."""
+        """Number of received bytes after the last complete event."""
         return len(self._rest)
 
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes; returns the bytes of all complete events.
 
-        The result includes the comments between them.
+        The result includes the comments and empty lines between them.
         """
         # The earlier bytes have no boundary, so that none begins far in front
         # of the new ones.
@@ -46,7 +47,7 @@
         ends = [m.end() for m in _BOUNDARY.finditer(self._rest, start)]
         for begin, end in itertools.pairwise([0, *ends]):
             event = bytes(self._rest[begin:end])
-            if _COMMENT.fullmatch(event):
+            if _NO_EVENT.fullmatch(event):
                 continue
             self.events += 1
             id_match = _ID.search(event)
@@ -63,6 +64,8 @@
         scanner.feed(data)
         return scanner.events > self.events
 
-    def discard_incomplete_event(self) -> None:
-        """Discards the bytes of an event that was interrupted."""
+    def take_rest(self) -> bytes:
+        """Removes and returns the bytes after the last complete event."""
+        rest = bytes(self._rest)
         self._rest.clear()
+        return rest
--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -157,10 +157,9 @@
         except OSError as exc:
             return upstream.describe(exc)
         finally:
-            if self._scanner.incomplete_bytes:
-                self._partial_events += 1
             if not is_complete:
-                self._scanner.discard_incomplete_event()
+                self._partial_events += self._scanner.is_inside_event
+                self._scanner.take_rest()
                 resp.close()
         return None
 
@@ -220,7 +219,6 @@
         reader: "_Reader",
         watch: progress.ProgressWatch,
     ) -> bool:
-        is_resumed = self.is_started
         events_at_start = self._scanner.events
         while chunk := await reader.read():
             events_before = self._scanner.events
@@ -235,13 +233,12 @@
                 began_s = time.monotonic()
                 await self._write_events(resp, whole_events)
                 watch.on_caller_waited_for(time.monotonic() - began_s)
-        if self._scanner.incomplete_bytes:
-            if is_resumed or not upstream_protocol.has_framing(resp):
-                raise upstream_protocol.MalformedAnswerError(
-                    "the stream ends inside an event"
-                )
-            # The last event may lack the empty line at its end.
-            await self._write_events(resp, self._scanner.incomplete_event)
+        if self._scanner.is_inside_event:
+            # A server that fails in an event may end its body as usual, so a
+            # length or a last chunk doesn't show that the stream is complete.
+            raise upstream_protocol.MalformedAnswerError(
+                "the stream ends inside an event"
+            )
         if (
             self._scanner.events == events_at_start
             and not upstream_protocol.has_framing(resp)
@@ -250,6 +247,8 @@
             raise upstream_protocol.MalformedAnswerError(
                 "the stream ends before its first event"
             )
+        if rest := self._scanner.take_rest():
+            await self._write_events(resp, rest)
         await self._write_events(resp, None)
         return True
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -124,19 +124,113 @@
             assert await _read(resp) == (_text(0, 1) + rest, True)
 
 
-async def test_last_event_of_a_framed_stream_may_lack_its_empty_line() -> None:
-    """Chunks show that the stream is complete."""
+# Frames a body as servers do.
+_FRAMINGS = {
+    "chunks": lambda body: scripted_backend.answer(
+        headers=("X-Server-Stamp: s", "Transfer-Encoding: chunked"),
+        body=b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body),
+    ),
+    "length": lambda body: scripted_backend.answer(
+        headers=("X-Server-Stamp: s", f"Content-Length: {len(body)}"),
+        body=body,
+    ),
+    "neither": lambda body: scripted_backend.answer(
+        headers=_UNFRAMED, body=body
+    ),
+}
+_LINE_ENDS = {"LF": "\n", "CR LF": "\r\n", "CR": "\r"}
+# Bytes of the twelfth event that arrive.
+_TEARS = {
+    "in the id": "id: 1",
+    "in the data": "id: 11\ndata: par",
+    "after the data": "id: 11\ndata: part 11",
+    "before the empty line": "id: 11\ndata: part 11\n",
+}
+
+
+@pytest.mark.parametrize("events", [0, 11])
+@pytest.mark.parametrize("tear", _TEARS)
+@pytest.mark.parametrize("line_end", _LINE_ENDS)
+@pytest.mark.parametrize("framing", _FRAMINGS)
+async def test_framing_does_not_complete_a_stream_inside_an_event(
+    framing: str, line_end: str, tear: str, events: int
+) -> None:
+    """A server that fails in an event may still end its body as usual."""
+    newline = _LINE_ENDS[line_end]
+    whole = _text(*range(events)).replace("\n", newline)
+    body = whole + _TEARS[tear].replace("\n", newline)
     async with gateway_system.running() as system:
-        body = b"id: 0\ndata: last\n"
-        chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        backend = system.backends[0]
+        backend.close = True
+        backend.scripts.append(_FRAMINGS[framing](body.encode()))
+        resp = await system.send("/draft/x")
+        if events:
+            assert await _read(resp) == (whole, False)
+        else:
+            # Nothing has reached the caller, so the failure can be stated.
+            assert resp.status == 502
+        assert len(system.request_heads) == 1
+
+
+async def test_event_that_lacks_half_of_its_last_line_end_is_partial() -> None:
+    async with gateway_system.running() as system:
+        body = _text(0, 1).replace("\n", "\r\n")
         system.backends[0].scripts.append(
-            scripted_backend.answer(
-                headers=("X-Server-Stamp: s", "Transfer-Encoding: chunked"),
-                body=chunks,
-            )
+            _FRAMINGS["chunks"](body.removesuffix("\n").encode())
         )
         resp = await system.send("/draft/x")
-        assert await _read(resp) == (body.decode(), True)
+        assert await _read(resp) == (_text(0).replace("\n", "\r\n"), False)
+
+
+@pytest.mark.parametrize("events", [0, 11])
+@pytest.mark.parametrize("tear", _TEARS)
+@pytest.mark.parametrize("framing", _FRAMINGS)
+async def test_framed_stream_that_ends_inside_an_event_is_resumed(
+    framing: str, tear: str, events: int
+) -> None:
+    """The rest was lost although another server could continue the stream."""
+    body = (_text(*range(events)) + _TEARS[tear]).encode()
+    async with gateway_system.running(backends=2) as system:
+        scripts = [_FRAMINGS[framing](body), _stream(*range(events, 13))]
+        for backend in system.backends:
+            backend.close = True
+            backend.scripts = scripts
+        resp = await system.send("/ask/x")
+        assert await _read(resp) == (_text(*range(13)), True)
+        heads = b"".join(system.request_heads).lower()
+        last_id = f"last-event-id: {events - 1}\r\n" if events else ""
+        assert heads.count(b"last-event-id") == bool(events)
+        assert last_id.encode() in heads
+
+
+@pytest.mark.parametrize("framing", _FRAMINGS)
+async def test_resumed_stream_that_ends_inside_an_event_is_incomplete(
+    framing: str,
+) -> None:
+    rest = (_text(2) + "id: 3\ndata: pa").encode()
+    assert await _resume_with(_FRAMINGS[framing](rest)) == (
+        _text(0, 1, 2),
+        False,
+    )
+
+
+@pytest.mark.parametrize(
+    "end", ["\n", "\n\n\n", "\r\n", ": bye\n", ": bye\n\n"]
+)
+@pytest.mark.parametrize("framing", _FRAMINGS)
+async def test_lines_after_the_last_event_are_no_partial_event(
+    framing: str, end: str
+) -> None:
+    """Empty lines and comments end no stream early and are relayed."""
+    body = _text(0, 1) + end
+    async with gateway_system.running() as system:
+        backend = system.backends[0]
+        backend.close = True
+        backend.scripts.append(_FRAMINGS[framing](body.encode()))
+        resp = await system.send("/draft/x")
+        assert await _read(resp) == (body, True)
+        await asyncio.sleep(0.05)
+        assert system.gateway.accounts.used() == {"press": 100 + 2 * 5}
 
 
 async def test_caller_that_knows_no_chunks_gets_a_stream_until_the_end() -> (
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -170,4 +170,5 @@
     )
     assert out == "".join(events).encode()
     assert (scanner.events, scanner.last_id) == (9, "8")
-    assert scanner.incomplete_event == b"id: 9\ndata"
+    assert scanner.is_inside_event
+    assert scanner.take_rest() == b"id: 9\ndata"
