Send the difference from the value that a peer has already

What callers saw: routes that had been added were answered with 404, and changes were not in force in time, at the router with the most requests (CONFIG).

Cause, first part: a router whose reply from the store is slow asks a peer for a copy, but the copy is the whole configuration, compressed to 23 kB of 299 kB.

Change: a peer that still has the value that the asking router has read sends the difference (Zstandard, with the earlier value as dictionary).

--- a/hibiscuspass/gateway/config_follower.py
+++ b/hibiscuspass/gateway/config_follower.py
@@ -8,6 +8,7 @@
 
 from hibiscuspass.backends import kv_store
 from hibiscuspass.core import refusal
+from hibiscuspass.core import value_delta
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.gateway import follower
 
@@ -27,6 +28,7 @@
       key: Key of the configuration.
       table: Newest table; None until the first one was read.
       entry: Newest entry that was read, also if it can't be decoded here.
+      recent: Its value and those before it.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         self.key = key
         self.table: route_table.RouteTable | None = None
         self.entry: kv_store.KeyValue | None = None
+        self.recent = value_delta.RecentValues()
         self._decode = decode
         self._on_table = on_table
 
@@ -64,6 +67,7 @@
     def _adopt(self, entry: kv_store.KeyValue) -> None:
         if self.entry is None or entry.revision > self.entry.revision:
             self.entry = entry
+            self.recent.add(entry.value)
         started_s = time.monotonic()
         table = self._decode(entry.value)
         if isinstance(table, refusal.Refusal):
