Read a large reply on a slow link only if no peer gives a copy

Cause, second part: each router reads each version whole from the store, 398 kB in base64 for a change of some bytes. On a link of 5 Mbit/s that is 0.64 s of every 1.2 s while versions follow each other; requests and their prompts wait behind it, and the router with the most requests has each version last. A copy was asked for 0.1 s after the reply had begun, and the reply went on meanwhile. A peer that had lost power after its announcement blocked all copies for 1.5 s. An announcement without a reply led to a second request to the store for the same bytes, whose time limit ended both on a busy link.

Change: a router measures the bandwidth of large replies. Where one is expected to take 0.1 s or longer, it stops reading after the head, for 0.3 to 0.6 s, and asks a peer that has announced the change; a copy ends the request, else the reply goes on. A second peer is asked after 0.25 s. On a slow link, an announced change whose reply hasn't begun is asked for from the peer before the store is checked. Routers with fast links read as before. Requests to the store moved from the follower to gateway/prefix_reader.py.

--- a/hibiscuspass/backends/txn_store.py
+++ b/hibiscuspass/backends/txn_store.py
@@ -1,6 +1,7 @@
 """Interface of a key-value service with transactions over several keys."""
 
 import abc
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -11,8 +12,9 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core import store_era
 
-# Called when a reply begins to arrive; a large one needs more time to arrive.
-OnReply = Callable[[], None]
+# Called with the size of a reply in bytes when it begins to arrive, 0 if that
+# is not known. The rest of the reply is not read before it returns.
+OnReply = Callable[[int], Awaitable[None]]
 
 
 @attrs.frozen
--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import functools
 import math
 import random
 import time
@@ -22,22 +21,13 @@
 from hibiscuspass.core.retry import backoff as backoff_lib
 from hibiscuspass.gateway import peer_copies
 from hibiscuspass.gateway import pending_reply
-from hibiscuspass.gateway import reply_timer
+from hibiscuspass.gateway import prefix_reader
 from hibiscuspass.gateway import store_probe
 
 _log = structlog.get_logger(__name__)
 
-_READ_TIMEOUT_S = 1.5
-# A poll that lasts this much longer than the requested wait has lost its
-# connection.
-_POLL_MARGIN_S = 0.6
 # Longest wait that the store accepts.
 _MAX_WAIT_S = 30.0
-# A poll returns each version of a value, a read only the newest ones. A reply
-# to a poll that is longer than a read by this factor is not worth its transfer.
-# Replies up to the smallest limit take little time on any link.
-_MAX_HISTORY_FACTOR = 1.5
-_MIN_HISTORY_LIMIT_BYTES = 64 * 1024
 # Shortest time from a read to the second one after it. The next one follows a
 # refused poll at once.
 _MIN_TWO_READS_S = 0.5
@@ -45,8 +35,6 @@
 # compared to the time within which a new configuration must be used.
 _BACKOFF = backoff_lib.BackoffConfig(base_s=0.3, factor=2.0, max_s=1.0)
 
-_Reply = txn_store.PollResult | refusal.Refusal
-
 
 class Subscriber(abc.ABC):
     """Receives the entries and changes that a follower reads."""
@@ -142,8 +130,9 @@
         self._is_restored = False
         store.era.listen(self._on_era)
         self._pending: pending_reply.PendingReply[Any] | None = None
-        # Size of the last full read, or of a longer reply to a poll since.
-        self._largest_bytes = 0
+        self._reader = prefix_reader.PrefixReader(
+            store, prefix, self.copies, self._ask_for_copy, monotonic_s
+        )
         self._is_reachable: bool | None = None
         self._backoff = backoff_lib.Backoff(_BACKOFF, random.Random())
 
@@ -157,17 +146,29 @@
         self._guard.on_announced(revision, self._monotonic_s())
         if revision > self.newest_change:
             self.copies.on_announced(address, revision)
+            self._ask_for_copy()
 
     def check(self) -> None:
         """Asks for changes beside a poll whose reply may have been lost."""
         if self._pending and self._pending.is_arriving:
-            self.copies.ask_if_late(
-                self.newest_change, self._pending.begun_s, self._monotonic_s()
-            )
+            self._ask_for_copy()
             return
-        if self._guard.is_check_due(self._monotonic_s()):
+        now_s = self._monotonic_s()
+        if self._guard.is_check_due(now_s) and not self.copies.replaces_check(
+            self.newest_change, self._reader.expected_bytes, now_s
+        ):
             self._wake.set()
 
+    def _ask_for_copy(self) -> None:
+        """Asks a peer for a copy of a reply that is slow to arrive."""
+        if self._pending and self._pending.is_arriving:
+            self.copies.ask_if_late(
+                self.newest_change,
+                self._pending.size,
+                self._pending.begun_s,
+                self._monotonic_s(),
+            )
+
     def on_store_unreachable(self) -> None:
         """Reads the prefix again as soon as the store answers."""
         self._is_lost = True
@@ -205,7 +206,6 @@
             failures = 0
             self._is_lost = False
             self._set_reachable(True)
-            self._largest_bytes = pending_reply.encoded_bytes(result.entries)
             self._subscriber.on_list(result.entries)
             self._on_answer(
                 result.revision, (e.revision for e in result.entries)
@@ -214,15 +214,12 @@
 
     async def _read_or_copy(self) -> kv_store.ReadResult | refusal.Refusal:
         """Reads the prefix; a peer's copy may replace a slow reply."""
-        begun = asyncio.Event()
-        read = pending_reply.PendingReply(
-            asyncio.create_task(self._read(begun)), begun
-        )
-        self._pending = read
+        self._pending = read = self._reader.read()
         try:
             while not read.task.done():
                 if copy := self.copies.take(self._guard.revision):
                     self.newest_change = copy.revision
+                    self._reader.on_copy(read)
                     return copy
                 await self._wait_until_done_or_woken(read.task)
             return read.task.result()
@@ -242,28 +239,28 @@
     async def _poll(self, revision: int) -> None:
         """Polls for changes until a full read is needed."""
         while True:
-            self._pending = self._request(revision, _MAX_WAIT_S)
+            self._pending = poll = self._reader.poll(revision, _MAX_WAIT_S)
             try:
-                changes = await self._wait_for_changes(self._pending, revision)
+                changes = await self._wait_for_changes(poll, revision)
             finally:
-                self._pending.task.cancel()
+                poll.task.cancel()
             if isinstance(changes, refusal.Refusal):
                 if changes.reason is not reason_lib.Reason.STALE:
                     self._set_reachable(False, changes)
                 return
             for event in changes.events:
                 self._subscriber.on_event(event)
-            self._largest_bytes = max(
-                self._largest_bytes, pending_reply.encoded_bytes(changes.events)
-            )
+            self._reader.on_entries(changes.events)
             revision = max(revision, changes.revision)
             self._on_answer(revision, (e.revision for e in changes.events))
             if changes.events:
                 await asyncio.sleep(self._min_interval_s)
 
     async def _wait_for_changes(
-        self, poll: pending_reply.PendingReply[_Reply], revision: int
-    ) -> _Reply:
+        self,
+        poll: pending_reply.PendingReply[prefix_reader.PollReply],
+        revision: int,
+    ) -> prefix_reader.PollReply:
         """Returns the reply to a waiting poll or to a check, or a copy."""
         while True:
             if self._is_restored:
@@ -277,11 +274,9 @@
             # A change that was read already may be missing in an older copy.
             if copy := self.copies.take(revision):
                 self.newest_change = copy.revision
+                self._reader.on_copy(poll)
                 self._subscriber.on_list(copy.entries)
-                self._largest_bytes = max(
-                    self._largest_bytes,
-                    pending_reply.encoded_bytes(copy.entries),
-                )
+                self._reader.on_entries(copy.entries)
                 return txn_store.PollResult((), copy.revision)
             await self._wait_until_done_or_woken(poll.task)
             if poll.task.done():
@@ -293,15 +288,17 @@
                 return reply
 
     async def _check(
-        self, poll: pending_reply.PendingReply[_Reply], revision: int
-    ) -> _Reply | None:
+        self,
+        poll: pending_reply.PendingReply[prefix_reader.PollReply],
+        revision: int,
+    ) -> prefix_reader.PollReply | None:
         """Asks for changes beside a poll until the poll's reply begins.
 
         Returns:
           The reply; None if there are no changes, or the poll's reply begins.
         """
         self._guard.on_check(self._monotonic_s())
-        check = self._request(revision, 0.0)
+        check = self._reader.poll(revision, 0.0)
         begun = asyncio.create_task(poll.begun.wait())
         try:
             await asyncio.wait(
@@ -318,58 +315,6 @@
         self._on_answer(revision, ())
         return None
 
-    async def _read(
-        self, begun: asyncio.Event
-    ) -> kv_store.ReadResult | refusal.Refusal:
-        timer = reply_timer.ReplyTimer("read", self.prefix, self._monotonic_s)
-        result = await self._store.get_prefix(
-            self.prefix,
-            timeout_s=_READ_TIMEOUT_S,
-            on_reply=functools.partial(self._on_reply, timer, begun),
-        )
-        timer.on_end(result)
-        return result
-
-    def _on_reply(
-        self, timer: reply_timer.ReplyTimer, begun: asyncio.Event
-    ) -> None:
-        timer.on_reply()
-        if self._pending and self._pending.begun is begun:
-            self._pending.begun_s = min(
-                self._pending.begun_s, self._monotonic_s()
-            )
-        begun.set()
-
-    def _request(
-        self, revision: int, wait_s: float
-    ) -> pending_reply.PendingReply[_Reply]:
-        """Starts to ask for changes after a revision."""
-        begun = asyncio.Event()
-        return pending_reply.PendingReply(
-            asyncio.create_task(self._receive(revision, wait_s, begun)), begun
-        )
-
-    async def _receive(
-        self, revision: int, wait_s: float, begun: asyncio.Event
-    ) -> _Reply:
-        timer = reply_timer.ReplyTimer(
-            "poll" if wait_s else "check", self.prefix, self._monotonic_s
-        )
-
-        reply = await self._store.poll(
-            self.prefix,
-            revision,
-            wait_s=wait_s,
-            timeout_s=wait_s + _POLL_MARGIN_S,
-            max_bytes=max(
-                _MIN_HISTORY_LIMIT_BYTES,
-                round(_MAX_HISTORY_FACTOR * self._largest_bytes),
-            ),
-            on_reply=functools.partial(self._on_reply, timer, begun),
-        )
-        timer.on_end(reply)
-        return reply
-
     def _on_answer(self, revision: int, changes: Iterable[int]) -> None:
         self._guard.on_answer(revision, self._monotonic_s())
         self.newest_change = max(self.newest_change, *changes, 0)
--- a/hibiscuspass/gateway/peer_copies.py
+++ b/hibiscuspass/gateway/peer_copies.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 from collections.abc import Callable
+import random
 
 from hibiscuspass.backends import kv_store
 from hibiscuspass.core.membership import copy_policy
@@ -24,7 +25,7 @@
 
 
 class PeerCopies:
-    """Asks one peer at a time for a copy.
+    """Asks peers for a copy, a second one only if the first is slow.
 
     Attributes:
       copier: Asks a peer; None if there is no link to peers yet.
@@ -38,8 +39,8 @@
         """
         self.copier: Copier | None = None
         self._on_copy = on_copy
-        self._policy = copy_policy.CopyPolicy()
-        self._task: asyncio.Task[None] | None = None
+        self._policy = copy_policy.CopyPolicy(random.Random())
+        self._tasks: set[asyncio.Task[None]] = set()
         self._copy: kv_store.ReadResult | None = None
 
     def on_announced(self, address: str, revision: int) -> None:
@@ -48,26 +49,66 @@
 
     def on_restored(self) -> None:
         """Drops copies and announcements with revisions of an earlier era."""
-        self._policy = copy_policy.CopyPolicy()
+        self._policy.on_restored()
         self._copy = None
-        if self._task:
-            self._task.cancel()
+        self._cancel()
+
+    def on_transfer(self, size: int, transfer_s: float) -> None:
+        """Records how long a reply of the store took to arrive.
+
+        Args:
+          size: Size of the whole reply in bytes.
+          transfer_s: Time until it was complete, or until a copy replaced it.
+        """
+        self._policy.on_transfer(size, transfer_s)
+
+    def hold_s(self, size: int) -> float:
+        """Returns for how long a reply of some bytes waits for a copy."""
+        return self._policy.hold_s(size) if self.copier else 0.0
 
     def ask_if_late(
-        self, newest_change: int, arriving_since_s: float, now_s: float
+        self,
+        newest_change: int,
+        size: int,
+        arriving_since_s: float,
+        now_s: float,
     ) -> None:
         """Asks a peer if the reply of the store is slow.
 
         Args:
           newest_change: Newest change that this router has read.
+          size: Size of the reply in bytes.
           arriving_since_s: Time at which the reply of the store began.
           now_s: Current time.
         """
-        if not self.copier or (self._task and not self._task.done()):
+        if not self.copier:
             return
-        source = self._policy.choose(newest_change, arriving_since_s, now_s)
+        source = self._policy.choose(
+            newest_change, size, arriving_since_s, now_s
+        )
         if source:
-            self._task = asyncio.create_task(self._ask(self.copier, source))
+            self._policy.on_ask(source, now_s)
+            task = asyncio.create_task(self._ask(self.copier, source))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def replaces_check(
+        self, newest_change: int, size: int, now_s: float
+    ) -> bool:
+        """Asks a peer for an announced change instead of the store.
+
+        Args:
+          newest_change: Newest change that this router has read.
+          size: Expected size of the reply of the store in bytes.
+          now_s: Current time.
+
+        Returns:
+          Whether a peer was asked that may still answer soon.
+        """
+        if not self.copier or not self._policy.is_slow(size):
+            return False
+        self.ask_if_late(newest_change, size, float("-inf"), now_s)
+        return self._policy.is_waiting(now_s)
 
     @property
     def has_copy(self) -> bool:
@@ -81,10 +122,18 @@
             return copy
         return None
 
+    def _cancel(self) -> None:
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     async def _ask(self, copier: Copier, source: copy_policy.Source) -> None:
-        copy = await copier.copy(source.address, source.revision)
+        try:
+            copy = await copier.copy(source.address, source.revision)
+        finally:
+            self._policy.on_end(source)
         if copy is None:
             self._policy.on_failed(source)
             return
         self._copy = copy
+        self._cancel()
         self._on_copy()
--- a/hibiscuspass/gateway/reply_timer.py
+++ b/hibiscuspass/gateway/reply_timer.py
@@ -20,7 +20,10 @@
     """Times of one call of the store.
 
     Attributes:
-      has_begun: Whether the reply has begun to arrive.
+      size: Size of the reply in bytes, of its first page if it has several; 0
+        before it begins.
+      transfer_s: Time for which the reply has arrived in seconds; 0 before it
+        is complete.
     """
 
     def __init__(
@@ -38,31 +41,36 @@
         self._monotonic_s = monotonic_s
         self._sent_s = monotonic_s()
         self._begun_s: float | None = None
+        self._held_s = 0.0
+        self.size = 0
+        self.transfer_s = 0.0
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the reply has begun to arrive."""
-        return self._begun_s is not None
-
-    def on_reply(self) -> None:
+    def on_reply(self, size: int) -> None:
         """Records that the reply, or its next page, begins to arrive."""
         if self._begun_s is None:
             self._begun_s = self._monotonic_s()
+            self.size = size
+
+    def on_resumed(self) -> None:
+        """Records that the reply arrives again after it was held."""
+        assert self._begun_s is not None
+        self._held_s = self._monotonic_s() - self._begun_s
 
     def on_end(self, reply: Reply) -> None:
         """Logs a reply that was slow to arrive or did not arrive completely."""
         if self._begun_s is None:
             return
-        transfer_s = self._monotonic_s() - self._begun_s
+        self.transfer_s = self._monotonic_s() - self._begun_s - self._held_s
         is_cut = isinstance(reply, refusal.Refusal)
-        if transfer_s < _SLOW_TRANSFER_S and not is_cut:
+        if self.transfer_s < _SLOW_TRANSFER_S and not is_cut:
             return
         _log.info(
             "store reply cut" if is_cut else "slow store reply",
             call=self._call,
             prefix=self._prefix,
             wait_ms=round((self._begun_s - self._sent_s) * 1000),
-            transfer_ms=round(transfer_s * 1000),
+            held_ms=round(self._held_s * 1000),
+            transfer_ms=round(self.transfer_s * 1000),
             bytes=value_bytes(reply),
             detail=reply.detail if isinstance(reply, refusal.Refusal) else "",
         )
--- a/hibiscuspass/platform/store.py
+++ b/hibiscuspass/platform/store.py
@@ -7,8 +7,10 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 import functools
 import http
 import json
@@ -329,15 +331,19 @@
       _ReplyTooLongError: The reply has more than `max_bytes`.
       TimeoutError: No data arrived for too long.
     """
-    if on_reply:
-        on_reply()
     max_bytes = _MAX_REPLY_BYTES if max_bytes is None else max_bytes
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + _MAX_TRANSFER_S
     data = bytearray()
     size = resp.content_length or 0
+    if size > max_bytes:
+        raise _ReplyTooLongError(f"more than {max_bytes} bytes")
+    if on_reply:
+        limit.reschedule(loop.time() + _MAX_TRANSFER_S)
+        with _paused(resp):
+            await on_reply(size)
+    end_s = loop.time() + _MAX_TRANSFER_S
     while True:
-        if max(size, len(data)) > max_bytes:
+        if len(data) > max_bytes:
             raise _ReplyTooLongError(f"more than {max_bytes} bytes")
         limit.reschedule(min(end_s, loop.time() + _MAX_PAUSE_S))
         piece = await resp.content.readany()
@@ -346,6 +352,23 @@
         data += piece
 
 
+@contextlib.contextmanager
+def _paused(resp: aiohttp.ClientResponse) -> Iterator[None]:
+    """Stops reading a reply, so that the rest of it stays at its sender."""
+    conn = resp.connection
+    transport = conn.transport if conn else None
+    if not isinstance(transport, asyncio.ReadTransport):
+        # All of the reply has arrived.
+        yield
+        return
+    transport.pause_reading()
+    try:
+        yield
+    finally:
+        if not transport.is_closing():
+            transport.resume_reading()
+
+
 def make_store(address: str) -> StoreClient:
     """Returns a client of the store.
 
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -152,7 +152,7 @@
         if self._is_other_era():
             return _other_era(reason_lib.Reason.STALE)
         if on_reply:
-            on_reply()
+            await on_reply(0)
         found = tuple(
             v for k, v in sorted(self.items.items()) if k.startswith(prefix)
         )
@@ -175,7 +175,7 @@
         if self._is_other_era():
             return _other_era(reason_lib.Reason.STALE)
         if on_reply:
-            on_reply()
+            await on_reply(0)
         events = tuple(
             kv_store.WatchEvent(k, v.value, v.revision)
             for k, v in self.items.items()
--- a/tests/store_link.py
+++ b/tests/store_link.py
@@ -64,6 +64,7 @@
       proxy: The link.
       client: Client of the store.
       follower: Follows the configuration.
+      config: Keeps the configuration.
       adopted: Versions that came in force.
     """
 
@@ -71,6 +72,7 @@
     proxy: proxy_lib.Proxy
     client: store_lib.StoreClient
     follower: follower_lib.Follower
+    config: config_follower.ConfigFollower
     adopted: asyncio.Queue[int]
 
     def put(
@@ -83,10 +85,14 @@
           transfer_s: Time that the slow link needs for it, in seconds.
           is_announced: Whether a router with a fast link reads it at once.
         """
-        self.stand_in.put(operator_config.KEY, make_config(version, transfer_s))
+        self.put_value(make_config(version, transfer_s))
         if is_announced:
             self.follower.on_announced(self.stand_in.revision, "127.0.0.1:1")
 
+    def put_value(self, value: bytes) -> None:
+        """Writes a configuration that no router has read yet."""
+        self.stand_in.put(operator_config.KEY, value)
+
     async def time_until(self, version: int) -> float:
         """Returns the seconds until a version is in force."""
         started_s = time.monotonic()
@@ -133,7 +139,7 @@
             follower.check()
 
     tasks = [asyncio.create_task(w) for w in (follower.run(), check())]
-    link = StoreLink(stand_in, proxy, store, follower, adopted)
+    link = StoreLink(stand_in, proxy, store, follower, config, adopted)
     try:
         await link.time_until(1)
         yield link
--- a/tests/test_config_copies.py
+++ b/tests/test_config_copies.py
@@ -1,6 +1,7 @@
 """Tests of copying the configuration from peers while the store is slow."""
 
 import asyncio
+import json
 import random
 import zlib
 
@@ -20,12 +21,17 @@
 from hibiscuspass.platform import operator_config
 from tests import peer_links
 from tests import store_link
+from tests.soak import proxy
 
 _CONTACT_S = 4.0
 # Time within which an acknowledged change must be in force.
 _APPLY_S = 3.0
 # Time after which a peer with a fast link has a change, and gives a copy.
 _PEER_S = 0.4
+# Size of a reply in bytes that takes time on a slow link.
+_LARGE = 400_000
+# What requests leave of a link of 5 Mbit/s at the busiest of many routers.
+_BUSY_BYTES_PER_S = 25_000
 _SOURCE = copy_policy.Source("10.0.0.1:7000", 5)
 
 
@@ -103,26 +109,101 @@
 
 
 def test_peers_are_asked_only_while_a_reply_is_slow() -> None:
-    policy = copy_policy.CopyPolicy()
+    policy = copy_policy.CopyPolicy(random.Random(1))
     policy.on_announced(_SOURCE)
-    assert policy.choose(4, arriving_since_s=0.0, now_s=0.05) is None
-    assert policy.choose(4, arriving_since_s=0.0, now_s=0.2) == _SOURCE
-    assert policy.choose(5, arriving_since_s=0.0, now_s=0.2) is None
-    assert policy.choose(4, arriving_since_s=float("inf"), now_s=9.0) is None
+    assert policy.choose(4, _LARGE, arriving_since_s=0.0, now_s=0.05) is None
+    assert policy.choose(4, _LARGE, arriving_since_s=0.0, now_s=0.2) == _SOURCE
+    assert policy.choose(5, _LARGE, arriving_since_s=0.0, now_s=0.2) is None
+    not_begun_s = float("inf")
+    assert policy.choose(4, _LARGE, not_begun_s, now_s=9.0) is None
 
 
 def test_first_peer_with_the_newest_change_is_asked() -> None:
     """It has the fastest link; after a failure the next one is asked."""
-    policy = copy_policy.CopyPolicy()
+    policy = copy_policy.CopyPolicy(random.Random(1))
     second = copy_policy.Source("10.0.0.2:7000", 5)
     for source in (_SOURCE, second, copy_policy.Source("10.0.0.3:7000", 4)):
         policy.on_announced(source)
-    assert policy.choose(3, 0.0, 1.0) == _SOURCE
+    assert policy.choose(3, _LARGE, 0.0, 1.0) == _SOURCE
     policy.on_failed(_SOURCE)
-    assert policy.choose(3, 0.0, 1.0) == second
+    assert policy.choose(3, _LARGE, 0.0, 1.0) == second
     newer = copy_policy.Source(_SOURCE.address, 6)
     policy.on_announced(newer)
-    assert policy.choose(3, 0.0, 1.0) == newer
+    assert policy.choose(3, _LARGE, 0.0, 1.0) == newer
+
+
+def test_reply_on_a_link_that_was_slow_waits_for_a_copy() -> None:
+    """Until a copy replaced it, a reply took the link from requests."""
+    policy = copy_policy.CopyPolicy(random.Random(1))
+    assert policy.hold_s(_LARGE) == 0, "the link may be fast"
+    policy.on_transfer(_LARGE, 0.7)
+    assert 0.3 <= policy.hold_s(_LARGE) <= 0.6
+    assert policy.hold_s(1000) == 0
+    policy.on_announced(_SOURCE)
+    assert policy.choose(4, _LARGE, arriving_since_s=0.0, now_s=0.0) == _SOURCE
+    policy.on_transfer(1000, 0.001)
+    assert policy.hold_s(_LARGE) > 0, "a short reply shows nothing"
+    policy.on_transfer(_LARGE, 0.04)
+    assert policy.hold_s(_LARGE) == 0, "the link was only busy"
+
+
+async def test_copy_replaces_a_held_reply() -> None:
+    async with (
+        store_link.running(_CONTACT_S, store_link.BYTES_PER_S) as link,
+        asyncio.timeout(20.0),
+    ):
+        link.follower.copies.copier = peer = _Peer(link)
+        link.follower.copies.on_transfer(_LARGE, 0.7)
+        sent = link.proxy.bytes_sent
+        for version in range(2, 6):
+            link.put(version, transfer_s=2.2)
+            assert await link.time_until(version) < 1.0
+        assert peer.asks == 4
+        assert link.proxy.bytes_sent - sent < 2 * store_link.BYTES_PER_S
+
+
+async def test_held_reply_arrives_if_no_peer_has_it() -> None:
+    async with (
+        store_link.running(_CONTACT_S, store_link.BYTES_PER_S) as link,
+        asyncio.timeout(20.0),
+    ):
+        link.follower.copies.copier = peer = _Peer(link)
+        link.follower.copies.on_transfer(_LARGE, 0.7)
+        link.put(2, transfer_s=1.5, is_announced=False)
+        assert await link.time_until(2) < _APPLY_S
+        assert peer.asks == 0
+
+
+def test_second_peer_is_asked_if_the_first_is_silent() -> None:
+    """A peer that lost power after its announcement delayed the copy."""
+    policy = copy_policy.CopyPolicy(random.Random(1))
+    second = copy_policy.Source("10.0.0.2:7000", 5)
+    policy.on_announced(_SOURCE)
+    policy.on_announced(second)
+    policy.on_ask(_SOURCE, 1.0)
+    assert policy.choose(4, _LARGE, 0.0, 1.2) is None
+    assert policy.choose(4, _LARGE, 0.0, 1.3) == second
+    policy.on_ask(second, 1.3)
+    assert policy.choose(4, _LARGE, 0.0, 2.0) is None
+    policy.on_end(_SOURCE)
+    assert policy.choose(4, _LARGE, 0.0, 2.0) == _SOURCE
+
+
+async def test_silent_peer_does_not_delay_a_copy() -> None:
+    class _Silent(_Peer):
+        async def copy(self, address, revision):
+            if address == store_link.PEER:
+                await asyncio.sleep(30.0)
+            return await super().copy(address, revision)
+
+    async with (
+        store_link.running(_CONTACT_S, store_link.BYTES_PER_S) as link,
+        asyncio.timeout(20.0),
+    ):
+        link.follower.copies.copier = _Silent(link)
+        link.put(2, transfer_s=2.5)
+        link.follower.on_announced(link.stand_in.revision, "127.0.0.1:2")
+        assert await link.time_until(2) < 1.5
 
 
 class _Follower:
@@ -156,6 +237,72 @@
     return config
 
 
+def _random_config(version: int, routes: int) -> bytes:
+    """Returns a configuration whose names can't be compressed much."""
+    rng = random.Random(1)
+    names = [f"{rng.getrandbits(160):040x}" for _ in range(routes)]
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": name[:20],
+                    "host": f"{name[20:30]}.example",
+                    "path_prefix": f"/{name[30:]}/",
+                    "kind": "idempotent",
+                    "timeout_ms": 800,
+                    "service": "app",
+                }
+                for name in names
+            ],
+            "services": [{"name": "app"}],
+        }
+    ).encode()
+
+
+async def test_router_whose_link_is_busy_has_a_change_in_time() -> None:
+    """Requests leave little of a link, and each version was sent whole.
+
+    Several changes, one each second or so, were late at the router with the
+    most requests, or it had none of them.
+    """
+    client, server = peer_links.make("a"), peer_links.make("b")
+    for transport in (client, server):
+        transport._codec.registry.add(config_copy.OperatorConfigCopy)
+    async with (
+        store_link.running(_CONTACT_S) as link,
+        peer_links.running(client, server),
+        asyncio.timeout(60.0),
+    ):
+        peer_link = proxy.Proxy(server.address, random.Random(1))
+        await peer_link.start()
+        peer = _config(None)
+        reader = _Follower(0)
+        config_copies.ConfigCopies(server, peer, _evacuations(), reader)
+        link.follower.copies.copier = config_copies.ConfigCopies(
+            client, link.config, _evacuations(), link.follower
+        )
+        # The proxy reads short pieces only while its bandwidth is limited.
+        link.proxy.bytes_per_s = peer_link.bytes_per_s = 1e8
+        link.put_value(_random_config(2, routes=2000))
+        await link.time_until(2)
+        assert link.config.entry is not None
+        peer.on_list([link.config.entry])
+        link.proxy.bytes_per_s = peer_link.bytes_per_s = _BUSY_BYTES_PER_S
+        for version in range(3, 6):
+            value = _random_config(version, routes=2000)
+            link.put_value(value)
+            revision = link.stand_in.revision
+            peer.on_list(
+                [kv_store.KeyValue(operator_config.KEY, value, revision)]
+            )
+            reader.newest_change = revision
+            await asyncio.sleep(0.05)
+            link.follower.on_announced(revision, peer_link.address)
+            assert await link.time_until(version) < _APPLY_S - 1.2
+        await peer_link.close()
+
+
 @pytest.mark.usefixtures("each_transport")
 async def test_peers_give_each_other_the_configuration() -> None:
     value = store_link.make_config(3, transfer_s=1.5)
@@ -176,6 +323,7 @@
         keys = [e.key for e in result.entries[1:]]
         assert keys == ["op/evacuate/a", "op/evacuate/b"]
         assert await copies.copy(server.address, 10) is None
+        assert await copies.copy(server.address, 8) == result
         assert await copies.copy("127.0.0.1:9", 8) is None
 
 
--- a/tests/test_reply_timer.py
+++ b/tests/test_reply_timer.py
@@ -34,7 +34,7 @@
     with structlog.testing.capture_logs() as logs:
         if begun_s is not None:
             clock.now_s = begun_s
-            timer.on_reply()
+            timer.on_reply(10)
         clock.now_s = end_s
         timer.on_end(reply)
     return logs
--- a/tests/test_store_replies.py
+++ b/tests/test_store_replies.py
@@ -58,10 +58,36 @@
 
     head = f"Content-Length: {len(_EMPTY)}\r\n"
     begun = []
+
+    async def on_reply(size: int) -> None:
+        begun.append(size)
+
     async with _store_that_sends(head, pieces, pause_s=0.1) as store:
-        reply = await _poll(store, on_reply=lambda: begun.append(True))
+        reply = await _poll(store, on_reply=on_reply)
     assert reply.revision == 9
-    assert begun == [True]
+    assert begun == [len(_EMPTY)]
+
+
+async def test_reply_can_be_held_for_longer_than_the_time_limits():
+    """A reply that waits for a copy of a peer is still good afterwards."""
+    head = f"Content-Length: {len(_EMPTY)}\r\n"
+
+    async def on_reply(size: int) -> None:
+        await asyncio.sleep(2.0)
+
+    async with _store_that_sends(head, lambda: [_EMPTY], pause_s=0) as store:
+        reply = await _poll(store, on_reply=on_reply)
+    assert reply.revision == 9
+
+
+async def test_reply_that_is_too_long_is_not_held():
+    async def on_reply(size: int) -> None:
+        pytest.fail("the reply is not wanted")
+
+    head = f"Content-Length: {len(_EMPTY)}\r\n"
+    async with _store_that_sends(head, lambda: [_EMPTY], pause_s=0) as store:
+        reply = await _poll(store, on_reply=on_reply, max_bytes=1)
+    assertions.assert_refused(reply, reason_lib.Reason.STALE)
 
 
 async def test_stalled_reply_is_given_up():
