Copy changes from peers while the store is out of reach

Cause: after a failed read the follower waited for the store, and ignored peers that announced changes.

Change: while it waits, the follower asks peers for the changes that they announce, and announces what it has copied. A copy is as good as a read: messages are signed, eras are compared, and versions only go up.

--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -126,6 +126,8 @@
         self._wake = asyncio.Event()
         self.copies = peer_copies.PeerCopies(self._wake.set)
         self._is_lost = False
+        # Whether the follower waits until the store can be reached.
+        self._is_waiting = False
         # Whether the store was restored since the last full read began.
         self._is_restored = False
         store.era.listen(self._on_era)
@@ -150,7 +152,7 @@
 
     def check(self) -> None:
         """Asks for changes beside a poll whose reply may have been lost."""
-        if self._pending and self._pending.is_arriving:
+        if self._is_waiting or (self._pending and self._pending.is_arriving):
             self._ask_for_copy()
             return
         now_s = self._monotonic_s()
@@ -160,13 +162,16 @@
             self._wake.set()
 
     def _ask_for_copy(self) -> None:
-        """Asks a peer for a copy of a reply that is slow to arrive."""
-        if self._pending and self._pending.is_arriving:
+        """Asks a peer for what the store can't give, or gives slowly."""
+        now_s = self._monotonic_s()
+        if self._is_waiting:
+            self.copies.ask_if_late(self.newest_change, 0, -math.inf, now_s)
+        elif self._pending and self._pending.is_arriving:
             self.copies.ask_if_late(
                 self.newest_change,
                 self._pending.size,
                 self._pending.begun_s,
-                self._monotonic_s(),
+                now_s,
             )
 
     def on_store_unreachable(self) -> None:
@@ -200,8 +205,7 @@
                 self._set_reachable(False, result)
                 failures += 1
                 self._probe.on_failure()
-                await asyncio.sleep(self._backoff.delay_s(failures))
-                await self._probe.wait()
+                await self._wait_for_store(self._backoff.delay_s(failures))
                 continue
             failures = 0
             self._is_lost = False
@@ -212,6 +216,31 @@
             )
             await self._poll(result.revision)
 
+    async def _wait_for_store(self, pause_s: float) -> None:
+        """Waits until the store answers, and copies what peers announce.
+
+        Args:
+          pause_s: Shortest time to wait in seconds.
+        """
+
+        async def wait() -> None:
+            await asyncio.sleep(pause_s)
+            await self._probe.wait()
+
+        store = asyncio.create_task(wait())
+        self._is_waiting = True
+        self._ask_for_copy()
+        try:
+            while not store.done():
+                await self._wait_until_done_or_woken(store)
+                if copy := self.copies.take(self.newest_change):
+                    self.newest_change = copy.revision
+                    self._subscriber.on_list(copy.entries)
+                    self._peers.announce(self.prefix, copy.revision)
+        finally:
+            self._is_waiting = False
+            store.cancel()
+
     async def _read_or_copy(self) -> kv_store.ReadResult | refusal.Refusal:
         """Reads the prefix; a peer's copy may replace a slow reply."""
         self._pending = read = self._reader.read()
--- a/tests/test_config_copies.py
+++ b/tests/test_config_copies.py
@@ -174,6 +174,25 @@
         assert peer.asks == 0
 
 
+async def test_changes_are_copied_while_the_store_is_out_of_reach() -> None:
+    """Peers had a change seconds before a router that found no link to it."""
+    async with (
+        store_link.running(_CONTACT_S) as link,
+        asyncio.timeout(20.0),
+    ):
+        link.follower.copies.copier = peer = _Peer(link)
+        link.proxy.mode = proxy.Mode.SILENT
+        link.follower.on_store_unreachable()
+        await asyncio.sleep(2.0)
+        for version in (2, 3):
+            link.put(version, transfer_s=0.01)
+            assert await link.time_until(version) < 1.0
+        assert peer.asks == 2
+        link.proxy.mode = proxy.Mode.PASS
+        link.put(4, transfer_s=0.01, is_announced=False)
+        assert await link.time_until(4) < _APPLY_S
+
+
 def test_second_peer_is_asked_if_the_first_is_silent() -> None:
     """A peer that lost power after its announcement delayed the copy."""
     policy = copy_policy.CopyPolicy(random.Random(1))
