Keep probing the store with a read that is late

Cause: after a failure one cheap read at a time shows whether the store answers, and each was given up after 0.5 s. Its connection is new, since the one before is replaced after each read without a reply. On a link where packets wait 0.2 s and more, a new connection and a read take longer than that, so no read ever succeeded while requests came at this rate.

Change: a read has 1.5 s; the next one begins after 0.5 s and the pause, as before, and doesn't end the earlier one. The number of reads in an outage is the same.

--- a/hibiscuspass/gateway/store_probe.py
+++ b/hibiscuspass/gateway/store_probe.py
@@ -2,10 +2,13 @@
 
 Load pattern: hundreds of routers that are cut off from the store for seconds.
 Full reads and writes of each of them are expensive and have no use then. After
-a failure, one cheap read at a time shows whether other calls make sense.
+a failure, one cheap read after the other shows whether other calls make sense.
+On a saturated link a new connection and a read take a second, so that a read is
+not given up when the next one begins.
 """
 
 import asyncio
+import contextlib
 import random
 
 from hibiscuspass.backends import txn_store
@@ -13,7 +16,9 @@
 
 # Prefix with few and small keys.
 _PREFIX = "fleet/"
-_TIMEOUT_S = 0.5
+_TIMEOUT_S = 1.5
+# Time after which the next read is due although there is no answer.
+_PATIENCE_S = 0.5
 # Pauses between reads. They are short compared to the time within which a new
 # configuration must be used.
 _MIN_PAUSE_S = 0.2
@@ -48,10 +53,24 @@
             self._task.cancel()
 
     async def _run(self) -> None:
-        while True:
-            result = await self._store.get_prefix(
-                _PREFIX, timeout_s=_TIMEOUT_S, stale_ok=True
-            )
-            if not isinstance(result, refusal.Refusal):
-                return
-            await asyncio.sleep(random.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S))
+        answered = asyncio.Event()
+        reads: set[asyncio.Task[None]] = set()
+        try:
+            while not answered.is_set():
+                read = asyncio.create_task(self._read(answered))
+                reads.add(read)
+                read.add_done_callback(reads.discard)
+                await asyncio.wait({read}, timeout=_PATIENCE_S)
+                pause_s = random.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(answered.wait(), pause_s)
+        finally:
+            for read in reads:
+                read.cancel()
+
+    async def _read(self, answered: asyncio.Event) -> None:
+        result = await self._store.get_prefix(
+            _PREFIX, timeout_s=_TIMEOUT_S, stale_ok=True
+        )
+        if not isinstance(result, refusal.Refusal):
+            answered.set()
