Relay documents on streaming routes as before

Since such a body counted as a stream that ends inside an event.

Change: a body with a length or chunks whose content type says that it is no stream of events is relayed whole, and charged as one event as before. It never follows a part of a stream. Bodies without a content type are streams.

Evidence: tests/test_broken_streams.py, five new cases, two of which fail before.

--- a/hibiscuspass/gateway/relay.py
+++ b/hibiscuspass/gateway/relay.py
@@ -219,6 +219,7 @@
         reader: "_Reader",
         watch: progress.ProgressWatch,
     ) -> bool:
+        is_resumed = self.is_started
         events_at_start = self._scanner.events
         while chunk := await reader.read():
             events_before = self._scanner.events
@@ -234,11 +235,13 @@
                 await self._write_events(resp, whole_events)
                 watch.on_caller_waited_for(time.monotonic() - began_s)
         if self._scanner.is_inside_event:
-            # A server that fails in an event may end its body as usual, so a
-            # length or a last chunk doesn't show that the stream is complete.
-            raise upstream_protocol.MalformedAnswerError(
-                "the stream ends inside an event"
-            )
+            if is_resumed or not upstream_protocol.is_document(resp):
+                # A server that fails in an event may end its body as usual, so
+                # a length or a last chunk doesn't show that it is complete.
+                raise upstream_protocol.MalformedAnswerError(
+                    "the stream ends inside an event"
+                )
+            self._partial_events += 1
         if (
             self._scanner.events == events_at_start
             and not upstream_protocol.has_framing(resp)
--- a/hibiscuspass/gateway/upstream_protocol.py
+++ b/hibiscuspass/gateway/upstream_protocol.py
@@ -25,6 +25,7 @@
 _MAX_FRAMING_PER_BYTE = 16
 # The library reads them in a head, but doesn't write them to a caller.
 _CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_EVENTS_TYPE = "text/event-stream"
 
 
 class MalformedAnswerError(aiohttp.ClientPayloadError):
@@ -129,6 +130,15 @@
     return resp.content_length is not None or "chunked" in codings
 
 
+def is_document(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether a body says that it is no stream, and shows its end."""
+    return (
+        has_framing(resp)
+        and "Content-Type" in resp.headers
+        and resp.content_type != _EVENTS_TYPE
+    )
+
+
 def has_control_characters(resp: aiohttp.ClientResponse) -> bool:
     """Returns whether a head has control characters, which HTTP forbids."""
     texts = itertools.chain([resp.reason or ""], *resp.headers.items())
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -214,6 +214,54 @@
     )
 
 
+def _with_type(content_type: str, body: bytes) -> bytes:
+    return scripted_backend.answer(
+        headers=(
+            "X-Server-Stamp: s",
+            f"Content-Type: {content_type}",
+            f"Content-Length: {len(body)}",
+        ),
+        body=body,
+    )
+
+
+@pytest.mark.parametrize(
+    "content_type", ["application/json", "text/plain; charset=utf-8"]
+)
+async def test_answer_that_is_no_stream_is_relayed_whole(
+    content_type: str,
+) -> None:
+    """Servers may answer a request for a stream with another document."""
+    async with gateway_system.running() as system:
+        backend = system.backends[0]
+        backend.scripts.append(_with_type(content_type, b'{"text": "whole"}'))
+        resp = await system.send("/draft/x")
+        assert await _read(resp) == ('{"text": "whole"}', True)
+        await asyncio.sleep(0.05)
+        assert system.gateway.accounts.used() == {"press": 100 + 5}
+
+
+@pytest.mark.parametrize(
+    "content_type", ["text/event-stream", "Text/Event-Stream; charset=utf-8"]
+)
+async def test_partial_event_of_a_typed_stream_is_not_relayed(
+    content_type: str,
+) -> None:
+    async with gateway_system.running() as system:
+        body = (_text(0, 1) + "id: 2\ndata: pa").encode()
+        system.backends[0].scripts.append(_with_type(content_type, body))
+        resp = await system.send("/draft/x")
+        assert await _read(resp) == (_text(0, 1), False)
+
+
+async def test_document_does_not_follow_a_part_of_a_stream() -> None:
+    body = b'{"text": "whole"}'
+    assert await _resume_with(_with_type("application/json", body)) == (
+        _text(0, 1),
+        False,
+    )
+
+
 @pytest.mark.parametrize(
     "end", ["\n", "\n\n\n", "\r\n", ": bye\n", ": bye\n\n"]
 )
