Bound the time for which a refused request asks for permits

Cause: a request asks for a permit of up to three servers, one after the other. Each question follows one to the monitors of the engines, so that a refusal takes up to six round trips between routers. With twelve routers in one process that uses 0.7 of a core, the event loop is 15 to 86 ms late and a round trip takes up to 0.16 s for the permit and 0.23 s for the monitor. No message was lost (0 questions without an answer).

Change: after 0.2 s no further permit is asked for. A request that has found none by then goes to a server without a limit, or is refused.

--- a/hibiscuspass/gateway/backend_chooser.py
+++ b/hibiscuspass/gateway/backend_chooser.py
@@ -31,6 +31,9 @@
 _MAX_WAIT_SHARE = 0.5
 # Limited servers for which a permit is asked for, before others are chosen.
 _MAX_ASKS = 3
+# Time after which no further permit is asked for. Each question takes two round
+# trips, which are slow between busy routers, and the refusal is due at once.
+_MAX_ASK_S = 0.2
 # Suggested delay while all servers of a service are evacuated. Nothing tells
 # when the operator ends an evacuation; a caller that comes back later than this
 # would lose time after the end.
@@ -88,14 +91,20 @@
         limited server is for that time.
         """
         asks = 0
+        began_s = time.monotonic()
         while True:
+            is_over = time.monotonic() - began_s >= _MAX_ASK_S
             choice = await self._choose(
-                call, service, attempts, with_limited=asks < _MAX_ASKS
+                call,
+                service,
+                attempts,
+                with_limited=asks < _MAX_ASKS and not is_over,
             )
             if choice is None:
                 if not await self._wait_for_server(call, service, attempts):
                     return None
                 asks = 0
+                began_s = time.monotonic()
                 continue
             backend = choice.backend
             # A server may hold off or leave while its monitor is asked.
