Use tokens that were drawn before the event loop was late

Callers got 503 "budget_unavailable" after a pause of their router though the router had drawn the tokens: a request that waits for the search of another one has a time limit, which was over when the event loop went on.

The tokens of the router are now looked at once more when the time is over.

--- a/hibiscuspass/gateway/prepaid_runtime.py
+++ b/hibiscuspass/gateway/prepaid_runtime.py
@@ -206,7 +206,10 @@
                     workspace, tokens, priority, deadline_s
                 )
         except TimeoutError:
-            return _refuse(reason_lib.Reason.BUDGET_UNAVAILABLE)
+            # Tokens may have arrived while the event loop was late.
+            now_s = time.monotonic()
+            hold = self.accounts.hold(workspace, tokens, priority, now_s)
+            return hold or _refuse(reason_lib.Reason.BUDGET_UNAVAILABLE)
 
     async def close(self) -> None:
         """Returns all unused tokens to the store, or lends them to a peer.
--- a/tests/test_stalled_connects.py
+++ b/tests/test_stalled_connects.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hibiscuspass.core.prepaid import workspace_usage
 from hibiscuspass.gateway import upstream_protocol
 from tests import gateway_system
 from tests import scripted_backend
@@ -43,3 +44,26 @@
         )
         assert [a.status for a in answers] == [200] * _REQUESTS
         assert opened
+
+
+async def test_tokens_that_were_drawn_before_a_stall_are_used() -> None:
+    """Callers got 503 (budget) after a pause of their router.
+
+    The time limit of the search was over when the event loop went on.
+    """
+    async with gateway_system.running() as system:
+        prepaid = system.gateway._prepaid
+        assert prepaid
+        lock = prepaid._searches.setdefault("press", asyncio.Lock())
+        async with lock:
+            deadline_s = time.monotonic() + 0.2
+            hold = asyncio.create_task(
+                prepaid.hold_tokens("press", 150, 0, deadline_s)
+            )
+            await asyncio.sleep(0)
+            assert await prepaid._draw_for("press", 150)
+            asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+            await asyncio.sleep(0)
+            # The lock is released in the turn in which the time ends.
+            await asyncio.sleep(0)
+        assert isinstance(await hold, workspace_usage.Hold)
