--- a/hibiscuspass/gateway/upstream.py
+++ b/hibiscuspass/gateway/upstream.py
@@ -15,6 +15,7 @@
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.gateway import call as call_lib
 from hibiscuspass.gateway import request_body
+from hibiscuspass.gateway import upstream_connector
 from hibiscuspass.gateway import upstream_protocol
 from hibiscuspass.platform import headers as names
 
@@ -87,7 +88,7 @@
 
     def __init__(self) -> None:
         self._session = aiohttp.ClientSession(
-            connector=upstream_protocol.make_connector(_IDLE_TIMEOUT_S),
+            connector=upstream_connector.make_connector(_IDLE_TIMEOUT_S),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_NO_AUTO_HEADERS,
--- a/hibiscuspass/gateway/upstream_protocol.py
+++ b/hibiscuspass/gateway/upstream_protocol.py
@@ -1,7 +1,6 @@
 """aiohttp client protocol that reports a connection reset as an error."""
 
 import asyncio
-import functools
 import http
 import itertools
 import re
@@ -9,7 +8,6 @@
 
 import aiohttp
 from aiohttp import client_proto
-from aiohttp import connector as connector_lib
 
 from hibiscuspass.backends import sockets
 from hibiscuspass.platform import headers as names
@@ -175,22 +173,3 @@
     """Returns whether a head has control characters, which HTTP forbids."""
     texts = itertools.chain([resp.reason or ""], *resp.headers.items())
     return any(map(_CONTROL_CHARACTERS.search, texts))
-
-
-def make_connector(idle_s: float) -> aiohttp.TCPConnector:
-    """Returns a connector without a limit on connections.
-
-    Args:
-      idle_s: Time after which an idle connection is closed, in seconds.
-    """
-    connector = connector_lib.TCPConnector(
-        limit=0,
-        keepalive_timeout=idle_s,
-        use_dns_cache=False,
-        socket_factory=sockets.make_socket,
-    )
-    # aiohttp has no public parameter for the protocol class.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        UpstreamProtocol, loop=connector._loop
-    )
-    return connector
