Give peers the configuration that the store has after a restore

A router that had followed the store through a restore kept the entry of the configuration from before: its revision was higher than those of the new era, so that newer entries weren't taken, and peers that asked were given the old value as read up to the newest change. Such a peer polls for changes after it only, and would never see the version that it missed.

Found by reading.

--- a/hibiscuspass/gateway/store_followers.py
+++ b/hibiscuspass/gateway/store_followers.py
@@ -51,6 +51,11 @@
         for each in self._subscribers:
             each.on_reachability_changed(is_reachable)
 
+    def on_restored(self) -> None:
+        """See base class."""
+        for each in self._subscribers:
+            each.on_restored()
+
 
 @attrs.define
 class StoreFollowers:
