Copy changes of the list of servers from peers

Cause: the list of servers came from the store only. It is copied now like the configuration: entries that changed and keys that were removed, with a digest of all keys and revisions, by which a peer that missed a removal is noticed. Followers ask a peer

* while the store is out of reach or its reply arrives, as before,
* if a read or a check has no reply after 0.1 s,
* between two polls, when no call to the store is wanted.

A copy that comes before the reply to a read begins doesn't show that the store can be reached, and a reply that was sent before the copied change is dropped.

Tests: tests/test_list_copies.py (five of its cases fail without copies, test_changes_between_two_polls_are_copied without those, and test_late_reply_does_not_replace_a_newer_copy if late replies aren't dropped), tests/test_entry_list.py.

--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -23,6 +23,7 @@
 from hibiscuspass.gateway import pending_reply
 from hibiscuspass.gateway import prefix_reader
 from hibiscuspass.gateway import store_probe
+from hibiscuspass.gateway import wake as wake_lib
 
 _log = structlog.get_logger(__name__)
 
@@ -123,15 +124,17 @@
         self._monotonic_s = monotonic_s
         self._guard = poll_guard.PollGuard(contact_s, random.Random())
         # Set when a check is due or the store was found unreachable.
-        self._wake = asyncio.Event()
+        self._wake = wake_lib.Wake()
         self.copies = peer_copies.PeerCopies(self._wake.set)
         self._is_lost = False
-        # Whether the follower waits until the store can be reached.
+        # Whether the follower asks nothing of the store for some time.
         self._is_waiting = False
         # Whether the store was restored since the last full read began.
         self._is_restored = False
         store.era.listen(self._on_era)
         self._pending: pending_reply.PendingReply[Any] | None = None
+        # A read or a check, to which the store replies without waiting.
+        self._awaited: pending_reply.PendingReply[Any] | None = None
         self._reader = prefix_reader.PrefixReader(
             store, prefix, self.copies, self._ask_for_copy, monotonic_s
         )
@@ -152,7 +155,11 @@
 
     def check(self) -> None:
         """Asks for changes beside a poll whose reply may have been lost."""
-        if self._is_waiting or (self._pending and self._pending.is_arriving):
+        if (
+            self._is_waiting
+            or self._awaited
+            or (self._pending and self._pending.is_arriving)
+        ):
             self._ask_for_copy()
             return
         now_s = self._monotonic_s()
@@ -173,6 +180,10 @@
                 self._pending.begun_s,
                 now_s,
             )
+        elif self._awaited:
+            self.copies.ask_if_late(
+                self.newest_change, 0, self._awaited.started_s, now_s
+            )
 
     def on_store_unreachable(self) -> None:
         """Reads the prefix again as soon as the store answers."""
@@ -227,43 +238,55 @@
             await asyncio.sleep(pause_s)
             await self._probe.wait()
 
-        store = asyncio.create_task(wait())
+        await self._copy_until(asyncio.create_task(wait()))
+
+    async def _copy_until(self, end: asyncio.Task[None]) -> None:
+        """Copies what peers announce until a task is done."""
         self._is_waiting = True
         self._ask_for_copy()
         try:
-            while not store.done():
-                await self._wait_until_done_or_woken(store)
+            while not end.done():
+                await self._wake.wait_for_any(end)
                 if copy := self.copies.take(self.newest_change):
                     self.newest_change = copy.revision
+                    self._guard.on_answer(copy.revision, self._monotonic_s())
                     self._subscriber.on_list(copy.entries)
                     self._peers.announce(self.prefix, copy.revision)
         finally:
             self._is_waiting = False
-            store.cancel()
+            end.cancel()
 
     async def _read_or_copy(self) -> kv_store.ReadResult | refusal.Refusal:
-        """Reads the prefix; a peer's copy may replace a slow reply."""
-        self._pending = read = self._reader.read()
+        """Reads the prefix; a peer's copy may replace a slow reply.
+
+        A copy that comes before the reply begins is used, but doesn't show that
+        the store can be reached.
+        """
+        self._pending = self._awaited = read = self._reader.read()
+        newest: kv_store.ReadResult | None = None
         try:
             while not read.task.done():
-                if copy := self.copies.take(self._guard.revision):
+                if copy := self.copies.take(
+                    max(self._guard.revision, self.newest_change)
+                ):
                     self.newest_change = copy.revision
-                    self._reader.on_copy(read)
-                    return copy
-                await self._wait_until_done_or_woken(read.task)
-            return read.task.result()
+                    if read.is_arriving:
+                        self._reader.on_copy(read)
+                        return copy
+                    newest = copy
+                    self._subscriber.on_list(copy.entries)
+                    self._peers.announce(self.prefix, copy.revision)
+                await self._wake.wait_for_any(read.task)
+            result = read.task.result()
         finally:
+            self._awaited = None
             read.task.cancel()
-
-    async def _wait_until_done_or_woken(self, task: asyncio.Task[Any]) -> None:
-        self._wake.clear()
-        wake = asyncio.create_task(self._wake.wait())
-        try:
-            await asyncio.wait(
-                {task, wake}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            wake.cancel()
+        is_older = (
+            newest is not None
+            and isinstance(result, kv_store.ReadResult)
+            and result.revision < newest.revision
+        )
+        return newest if newest and is_older else result
 
     async def _poll(self, revision: int) -> None:
         """Polls for changes until a full read is needed."""
@@ -282,8 +305,11 @@
             self._reader.on_entries(changes.events)
             revision = max(revision, changes.revision)
             self._on_answer(revision, (e.revision for e in changes.events))
-            if changes.events:
-                await asyncio.sleep(self._min_interval_s)
+            if changes.events and self._min_interval_s:
+                await self._copy_until(
+                    asyncio.create_task(asyncio.sleep(self._min_interval_s))
+                )
+                revision = max(revision, self.newest_change)
 
     async def _wait_for_changes(
         self,
@@ -307,7 +333,7 @@
                 self._subscriber.on_list(copy.entries)
                 self._reader.on_entries(copy.entries)
                 return txn_store.PollResult((), copy.revision)
-            await self._wait_until_done_or_woken(poll.task)
+            await self._wake.wait_for_any(poll.task)
             if poll.task.done():
                 return poll.task.result()
             if self._is_lost or poll.is_arriving or self.copies.has_copy:
@@ -324,16 +350,16 @@
         """Asks for changes beside a poll until the poll's reply begins.
 
         Returns:
-          The reply; None if there are no changes, or the poll's reply begins.
+          The reply; None if there are no changes, the poll's reply begins or a
+          copy has arrived.
         """
         self._guard.on_check(self._monotonic_s())
-        check = self._reader.poll(revision, 0.0)
+        self._awaited = check = self._reader.poll(revision, 0.0)
         begun = asyncio.create_task(poll.begun.wait())
         try:
-            await asyncio.wait(
-                {check.task, begun}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await self._wake.wait_for_any(check.task, begun)
         finally:
+            self._awaited = None
             begun.cancel()
             check.task.cancel()
         if not check.task.done():
--- a/hibiscuspass/gateway/message_types.py
+++ b/hibiscuspass/gateway/message_types.py
@@ -1,6 +1,7 @@
 """Types of the messages that gateways send or receive without a handler."""
 
 from hibiscuspass.core import config_copy
+from hibiscuspass.core import list_copy
 from hibiscuspass.core.forwarding import messages as forwarding_messages
 from hibiscuspass.core.prepaid import messages as prepaid_messages
 
@@ -15,4 +16,5 @@
     forwarding_messages.Permit,
     forwarding_messages.Proof,
     config_copy.OperatorConfigCopy,
+    list_copy.EntriesCopy,
 )
--- a/hibiscuspass/gateway/pending_reply.py
+++ b/hibiscuspass/gateway/pending_reply.py
@@ -14,6 +14,7 @@
     """Request whose reply is not complete.
 
     Attributes:
+      started_s: Time of the request on the monotonic clock.
       task: Ends with the reply.
       begun: Set when the reply begins to arrive.
       begun_s: Time at which it began on the monotonic clock.
@@ -21,6 +22,7 @@
       is_held: Whether the reply waits for a copy, or has waited for one.
     """
 
+    started_s: float
     task: asyncio.Task[_T] = attrs.field(init=False)
     begun: asyncio.Event = attrs.field(factory=asyncio.Event)
     begun_s: float = float("inf")
--- a/hibiscuspass/gateway/prefix_reader.py
+++ b/hibiscuspass/gateway/prefix_reader.py
@@ -63,7 +63,7 @@
 
     def read(self) -> pending_reply.PendingReply[ReadReply]:
         """Starts to read all keys."""
-        pending = pending_reply.PendingReply[ReadReply]()
+        pending = pending_reply.PendingReply[ReadReply](self._monotonic_s())
         pending.task = asyncio.create_task(self._read(pending))
         return pending
 
@@ -77,7 +77,7 @@
           wait_s: How long the store waits for a change; 0 for a check, whose
             reply never waits for a copy.
         """
-        pending = pending_reply.PendingReply[PollReply]()
+        pending = pending_reply.PendingReply[PollReply](self._monotonic_s())
         pending.task = asyncio.create_task(
             self._poll(pending, revision, wait_s)
         )
--- a/hibiscuspass/gateway/store_followers.py
+++ b/hibiscuspass/gateway/store_followers.py
@@ -17,6 +17,7 @@
 from hibiscuspass.gateway import config_follower
 from hibiscuspass.gateway import evacuation_follower
 from hibiscuspass.gateway import follower
+from hibiscuspass.gateway import list_copies
 from hibiscuspass.gateway import store_probe
 from hibiscuspass.peers import transport as transport_lib
 from hibiscuspass.platform import operator_config
@@ -70,6 +71,8 @@
     config: config_follower.ConfigFollower
     backends: backend_follower.BackendFollower
     evacuations: evacuation_follower.EvacuationFollower
+    _store: txn_store.TxnStore
+    _server_entries: list_copies.EntryKeeper
     _followers: Sequence[follower.Follower]
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
@@ -83,12 +86,16 @@
                 each.on_announced(revision, address)
 
     def copy_from_peers(self, transport: transport_lib.Transport) -> None:
-        """Makes the follower of the configuration copy it from peers."""
+        """Makes followers copy from peers what the store gives slowly."""
         for each in self._followers:
             if each.prefix == operator_config.PREFIX:
                 each.copies.copier = config_copies.ConfigCopies(
                     transport, self.config, self.evacuations, each
                 )
+            elif each.prefix == server_list.PREFIX:
+                each.copies.copier = list_copies.ListCopies(
+                    transport, self._server_entries, each, self._store
+                )
 
     def on_store_unreachable(self) -> None:
         """Reads all prefixes again as soon as the store answers."""
@@ -138,10 +145,13 @@
     evacuations = evacuation_follower.EvacuationFollower(
         operator_config.evacuated_domain, backends.backends
     )
+    server_entries = list_copies.EntryKeeper()
     return StoreFollowers(
         config,
         backends,
         evacuations,
+        store,
+        server_entries,
         (
             follower.Follower(
                 store,
@@ -154,7 +164,7 @@
             follower.Follower(
                 store,
                 server_list.PREFIX,
-                backends,
+                _Subscribers((server_entries, backends)),
                 peers,
                 probe,
                 contact_s=contact_s,
