--- a/hibiscuspass/gateway/follower.py
+++ b/hibiscuspass/gateway/follower.py
@@ -80,7 +80,8 @@
     Load pattern: large values that change in quick succession, read by hundreds
     of routers over links that need a second for one of them. While a reply
     arrives, nothing else is requested from the store. If a peer has the change
-    already, its copy replaces the reply.
+    already, its copy replaces the reply. Copies are also used between polls and
+    while the store doesn't reply.
 
     Attributes:
       prefix: Prefix of the keys.
@@ -112,6 +113,7 @@
             seconds.
           min_interval_s: Shortest time from a poll that returned changes to
             the next one, so that changes in quick succession share a reply.
+            Meanwhile, changes are copied from peers.
           monotonic_s: Clock in seconds.
         """
         self.prefix = prefix
--- a/hibiscuspass/gateway/list_copies.py
+++ b/hibiscuspass/gateway/list_copies.py
@@ -1,4 +1,8 @@
-"""Copies the list of backend servers from peers while the store is slow."""
+"""Copies the list of backend servers from peers.
+
+Whether and when to copy is decided in `core/membership/copy_policy.py` and
+`follower.py`, what a copy contains in `core/entry_list.py`.
+"""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
