Report how far the answers of lost requests were

A crash ends all requests of an engine. Its reports said which parts they had, but not whether a request was waiting, at the beginning of its answer or in the middle of it, so logs and decisions could not tell the request that caused the crash from those beside it.

--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -166,10 +166,13 @@
     Attributes:
       instances: Instance of the engine of each request.
       part_ids: Parts of the prompt of each request that others may have too.
+      events: Number of complete events that had arrived of the answer to each
+        request; None before the head of the answer.
     """
 
     instances: list[str]
     part_ids: list[list[str]]
+    events: list[int | None] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/hibiscuspass/gateway/crash_reporter.py
+++ b/hibiscuspass/gateway/crash_reporter.py
@@ -35,11 +35,13 @@
     Attributes:
       backend: Engine that ended the connection.
       part_ids: Shared parts of the prompt that may be the cause.
+      events: Number of complete events of its answer; None before the head.
       may_be_complete: Whether the engine may have ended its answer in order.
     """
 
     backend: backend_lib.Backend
     part_ids: list[str]
+    events: int | None
     may_be_complete: bool
 
 
@@ -68,6 +70,7 @@
         backend: backend_lib.Backend,
         sent_s: float,
         *,
+        events: int | None,
         may_be_complete: bool,
     ) -> None:
         """Records a request whose connection an engine ended.
@@ -76,6 +79,8 @@
           req: Request of a caller.
           backend: Engine that ended the connection.
           sent_s: Time of the send on the monotonic clock.
+          events: Number of complete events of the answer that have arrived;
+            None before its head.
           may_be_complete: Whether the engine may have ended its answer in
             order. If it accepts connections, its prompt is sound.
         """
@@ -87,7 +92,7 @@
         ]
         if not part_ids:
             return
-        self._lost.append(_Lost(backend, part_ids, may_be_complete))
+        self._lost.append(_Lost(backend, part_ids, events, may_be_complete))
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._report())
 
@@ -123,6 +128,7 @@
                     messages.ReportCrashes(
                         [i.backend.instance for i in reported],
                         [i.part_ids for i in reported],
+                        [i.events for i in reported],
                     )
                 )
 
@@ -132,6 +138,8 @@
             "engines crashed",
             engines=sorted(set(msg.instances)),
             requests=len(msg.instances),
+            waiting=msg.events.count(None),
+            without_event=msg.events.count(0),
         )
         informed: set[str] = set()
         for _ in range(_MAX_TRIES):
--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -252,8 +252,16 @@
         call: call_lib.Call,
         answer: sends_lib.Answer,
         finding: prompt_trial.Finding,
+        events: int,
     ) -> None:
-        """Records what an answer shows about its prompt."""
+        """Records what an answer shows about its prompt.
+
+        Args:
+          call: Request of the caller.
+          answer: Answer of a server.
+          finding: What it shows.
+          events: Number of its complete events that have arrived.
+        """
         if finding is prompt_trial.Finding.SOUND:
             self._guard.on_sound(call.req)
             return
@@ -261,6 +269,7 @@
             call.req,
             answer.choice.backend,
             answer.sent_s,
+            events=events,
             may_be_complete=finding is prompt_trial.Finding.AMBIGUOUS,
         )
 
--- a/hibiscuspass/gateway/forwarder.py
+++ b/hibiscuspass/gateway/forwarder.py
@@ -170,6 +170,7 @@
         """Relays one answer; returns why it broke off, or None."""
         trial = prompt_trial.PromptTrial()
         times = answer_times.AnswerTimes(answer.sent_s)
+        events_before = relay.events
 
         async def hand_over(has_progressed: Callable[[], bool]) -> bool:
             return relay.can_continue and await self._dispatcher.hand_over(
@@ -186,7 +187,10 @@
                 self._admission.on_first_event(answer.service, answer.choice)
             if trial.on_event(now_s):
                 self._dispatcher.on_finding(
-                    call, answer, prompt_trial.Finding.SOUND
+                    call,
+                    answer,
+                    prompt_trial.Finding.SOUND,
+                    relay.events - events_before,
                 )
 
         try:
@@ -217,7 +221,9 @@
             has_framing=upstream_protocol.has_framing(answer.resp),
         )
         if finding:
-            self._dispatcher.on_finding(call, answer, finding)
+            self._dispatcher.on_finding(
+                call, answer, finding, relay.events - events_before
+            )
         return failure
 
     def _on_timeout(
--- a/hibiscuspass/gateway/prompt_guard.py
+++ b/hibiscuspass/gateway/prompt_guard.py
@@ -75,11 +75,16 @@
         backend: backend_lib.Backend,
         sent_s: float,
         *,
+        events: int | None = None,
         may_be_complete: bool = False,
     ) -> None:
         """Records that a connection ended; see `CrashReporter.on_lost`."""
         self._reporter.on_lost(
-            req, backend, sent_s, may_be_complete=may_be_complete
+            req,
+            backend,
+            sent_s,
+            events=events,
+            may_be_complete=may_be_complete,
         )
 
     def close(self) -> None:
