--- a/hibiscuspass/core/forwarding/crash_reports.py
+++ b/hibiscuspass/core/forwarding/crash_reports.py
@@ -81,14 +81,23 @@
             maxlen=_MAX_REQUESTS
         )
 
-    def add(self, instance: str, part_ids: Iterable[str], now_s: float) -> None:
+    def add(
+        self,
+        instance: str,
+        part_ids: Iterable[str],
+        now_s: float,
+        events: int | None = None,
+    ) -> None:
         """Records a request that was lost in the crash of an engine.
 
         Args:
           instance: Instance of the engine; a restarted one has another.
           part_ids: Parts of the prompt that other requests may have too.
           now_s: Current time.
+          events: Number of complete events of the answer that had arrived; None
+            before its head. Not used yet.
         """
+        del events
         self._requests_s.append(now_s)
         for part_id in part_ids:
             self._crashes_s.setdefault(part_id, {}).setdefault(instance, now_s)
