Find a deadly prompt part by the stage of the answers that it ends

Cause: the decision compared how often requests with a part are lost with how often all are. A crash ends up to 82 requests of its engine, so most requests are lost while engines crash, and the part looks like the others.

`crash_evidence` therefore compares, for each stage, the losses of a part with the losses and survivors of other requests that got as far. Since all engines may be down and no answer tells a sound part from the deadly one, `quarantine_policy` refuses a likely cause for 8 s first; after that few requests with it are sent, and one more crash makes the quarantine long. An answer ends a short one.

Ruled out: late reports (the routers logged each crash within 0.1 s of it), and repeats, which are a few of the requests in the log.

--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from hibiscuspass.core.forwarding import cold_servers
+from hibiscuspass.core.forwarding import quarantine
 
 
 @attrs.frozen
@@ -209,6 +210,9 @@
     Attributes:
       causes: Sets of prompt parts; a request with all parts of one of them
         must not be sent.
+      duration_s: Time for which they are in force, in seconds, unless the store
+        lists them; 0 if an answer has shown that they crash no engine.
     """
 
     causes: list[list[str]]
+    duration_s: float = quarantine.ANNOUNCED_TTL_S
--- a/hibiscuspass/gateway/crash_coordinator.py
+++ b/hibiscuspass/gateway/crash_coordinator.py
@@ -9,16 +9,19 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Sequence
+import itertools
 import time
 from typing import Any
 
 import structlog
 
 from hibiscuspass.core import incarnation
+from hibiscuspass.core.forwarding import crash_evidence
 from hibiscuspass.core.forwarding import crash_reports
 from hibiscuspass.core.forwarding import messages
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
+from hibiscuspass.core.forwarding import quarantine_policy
 from hibiscuspass.gateway import fleet as fleet_lib
 from hibiscuspass.gateway import quarantine_list
 from hibiscuspass.peers import transport as transport_lib
@@ -52,6 +55,7 @@
         self._quarantine = quarantine
         self._list = listed
         self._reports = crash_reports.CrashReports()
+        self._policy = quarantine_policy.QuarantinePolicy(self._reports)
         self._is_deciding = False
         self._tasks: set[asyncio.Task[None]] = set()
         transport.register(messages.ReportCrashes, self.on_report)
@@ -63,10 +67,11 @@
     ) -> messages.Noted:
         """Handles the report of a router, which may be this one."""
         now_s = time.monotonic()
-        for instance, part_ids in zip(
-            msg.instances, msg.part_ids, strict=False
+        # Routers of earlier versions don't send the numbers of events.
+        for instance, part_ids, events in itertools.zip_longest(
+            msg.instances, msg.part_ids, msg.events
         ):
-            self._reports.add(instance, part_ids, now_s)
+            self._reports.add(instance, part_ids, now_s, events)
         if not self._is_deciding:
             self._is_deciding = True
             self._spawn(self._decide())
@@ -77,6 +82,12 @@
         for task in self._tasks:
             task.cancel()
 
+    def announce_end(self, causes: Sequence[quarantine_lib.Cause]) -> None:
+        """Tells all routers that an answer has shown that causes are none."""
+        parts = [sorted(cause) for cause in causes]
+        _log.warning("prompt parts are sound", causes=parts)
+        self._spawn(self._announce(messages.Quarantined(parts, 0.0)))
+
     async def _decide(self) -> None:
         """Puts causes in quarantine until all reports are explained."""
         delay_s = _MIN_DECISION_INTERVAL_S
@@ -90,7 +101,9 @@
         finally:
             self._is_deciding = False
 
-    async def _explain(self, suspects: Sequence[crash_reports.Suspect]) -> bool:
+    async def _explain(
+        self, suspects: Sequence[crash_evidence.Suspect]
+    ) -> bool:
         """Drops sound suspects and puts causes in quarantine.
 
         Returns:
@@ -101,18 +114,31 @@
         for part_id in proven:
             self._reports.forget(part_id)
         now_s = time.monotonic()
-        unproven = crash_reports.unproven(suspects, proofs)
-        causes = self._quarantine.on_announced(
-            self._reports.causes(unproven, now_s), now_s
+        decisions = [
+            d
+            for d in self._policy.decide(suspects, proofs, now_s)
+            if not self._quarantine.covers(d.cause, now_s)
+        ]
+        for decision in decisions:
+            self._start_quarantine(decision)
+        return bool(proven or decisions)
+
+    def _start_quarantine(self, decision: quarantine_policy.Decision) -> None:
+        cause = decision.cause
+        duration_s = min(decision.duration_s, quarantine_lib.ANNOUNCED_TTL_S)
+        self._quarantine.on_announced([cause], time.monotonic(), duration_s)
+        _log.warning(
+            "prompt parts crash engines",
+            parts=sorted(cause),
+            duration_s=decision.duration_s,
         )
-        for cause in causes:
-            _log.warning("prompt parts crash engines", parts=sorted(cause))
+        if decision.is_final:
             self._spawn(self._list.add(cause))
-        if causes:
-            self._spawn(self._announce(causes))
-        return bool(proven or causes)
+        self._spawn(
+            self._announce(messages.Quarantined([sorted(cause)], duration_s))
+        )
 
-    def _unexplained_suspects(self) -> list[crash_reports.Suspect]:
+    def _unexplained_suspects(self) -> list[crash_evidence.Suspect]:
         """Returns the suspects, unless all causes are in quarantine."""
         now_s = time.monotonic()
         suspects = self._reports.suspects(now_s)
@@ -122,7 +148,7 @@
         return suspects
 
     async def _ask_for_proofs(
-        self, suspects: Sequence[crash_reports.Suspect]
+        self, suspects: Sequence[crash_evidence.Suspect]
     ) -> list[messages.Proof]:
         """Returns what the routers that answer know of some parts."""
         now_s = time.monotonic()
@@ -143,9 +169,8 @@
             and len(reply.answers) == len(suspects)
         ]
 
-    async def _announce(self, causes: Sequence[quarantine_lib.Cause]) -> None:
+    async def _announce(self, msg: messages.Quarantined) -> None:
         """Tells all routers of causes in quarantine."""
-        msg = messages.Quarantined([sorted(cause) for cause in causes])
         confirmed: set[str] = set()
         for _ in range(_ANNOUNCEMENTS):
             peers = [a for a in self._fleet.peers() if a not in confirmed]
@@ -180,7 +205,13 @@
         self, sender: incarnation.Incarnation, msg: messages.Quarantined
     ) -> messages.Noted:
         causes = [frozenset(part_ids) for part_ids in msg.causes if part_ids]
-        for cause in self._quarantine.on_announced(causes, time.monotonic()):
+        if not msg.duration_s:
+            for cause in causes:
+                self._quarantine.on_sound(cause)
+            return messages.Noted()
+        for cause in self._quarantine.on_announced(
+            causes, time.monotonic(), msg.duration_s
+        ):
             _log.warning(
                 "prompt parts in quarantine",
                 parts=sorted(cause),
--- a/hibiscuspass/gateway/prompt_guard.py
+++ b/hibiscuspass/gateway/prompt_guard.py
@@ -21,7 +21,7 @@
 
 _log = structlog.get_logger(__name__)
 
-# A part stays in quarantine for minutes.
+# A part usually stays in quarantine for minutes.
 _RETRY_AFTER_S = 60.0
 
 
@@ -36,7 +36,7 @@
         ejection: ejection_lib.EjectionTracker,
         on_written_again: Callable[[str], None] = lambda _: None,
     ) -> None:
-        self._quarantine = quarantine_lib.Quarantine()
+        self._quarantine = quarantine_lib.Quarantine(lambda: fleet.known_size)
         self._proven = proven_parts.ProvenParts()
         self._list = quarantine_list.QuarantineList(
             store, self._quarantine, on_written_again
@@ -52,22 +52,34 @@
         """Follows the list of parts in quarantine until cancelled."""
         await self._list.run()
 
-    def check(self, req: request_lib.ForwardRequest) -> refusal.Refusal | None:
-        """Returns why a request must not be sent; None if it may be."""
-        cause = self._quarantine.find(req.prompt_parts, time.monotonic())
+    def check(
+        self, req: request_lib.ForwardRequest, *, is_send: bool = False
+    ) -> refusal.Refusal | None:
+        """Returns why a request must not be sent; None if it may be.
+
+        Args:
+          req: Request of a caller.
+          is_send: Whether it is sent at once unless it is refused.
+        """
+        now_s = time.monotonic()
+        cause = self._quarantine.find(req.prompt_parts, now_s, is_send=is_send)
         if cause is None:
             return None
         return refusal.Refusal(
             reason_lib.Reason.PROMPT_QUARANTINED,
             f"prompts with {' and '.join(sorted(cause))} make engines crash",
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=min(
+                _RETRY_AFTER_S, self._quarantine.left_s(cause, now_s)
+            ),
         )
 
     def on_sound(self, req: request_lib.ForwardRequest) -> None:
         """Records that an engine has not crashed on a request."""
-        self._proven.add(
-            (part.part_id for part in req.prompt_parts), time.monotonic()
-        )
+        part_ids = [part.part_id for part in req.prompt_parts]
+        self._proven.add(part_ids, time.monotonic())
+        ended = self._quarantine.on_sound(part_ids)
+        if ended:
+            self._coordinator.announce_end(ended)
 
     def on_lost(
         self,
--- a/hibiscuspass/gateway/quarantine_list.py
+++ b/hibiscuspass/gateway/quarantine_list.py
@@ -12,13 +12,11 @@
 from hibiscuspass.backends import txn_store
 from hibiscuspass.core import refusal
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
+from hibiscuspass.core.forwarding import quarantine_policy
 
 _log = structlog.get_logger(__name__)
 
 _PREFIX = "quarantine/"
-# The longest lease that the store grants. A part that still crashes engines
-# after it is found again.
-_TTL_S = 600.0
 _TIMEOUT_S = 1.0
 _READ_INTERVAL_S = 10.0
 _RETRY_INTERVAL_S = 1.0
@@ -93,7 +91,9 @@
         """Adds a cause for a limited time; repeats until the store answers."""
         value = msgspec.json.encode(_Record(sorted(cause)))
         while True:
-            lease = await self._store.create_lease(_TTL_S, timeout_s=_TIMEOUT_S)
+            lease = await self._store.create_lease(
+                quarantine_policy.LONG_S, timeout_s=_TIMEOUT_S
+            )
             if isinstance(lease, txn_store.Lease):
                 written = await self._store.commit(
                     {}, {_key(value): value}, timeout_s=_TIMEOUT_S, lease=lease
--- a/hibiscuspass/gateway/send_checks.py
+++ b/hibiscuspass/gateway/send_checks.py
@@ -44,7 +44,7 @@
 
         Counts the request, or its repeat, in the retry budget of the service.
         """
-        quarantined = self._guard.check(call.req)
+        quarantined = self._guard.check(call.req, is_send=True)
         if quarantined and attempts.sends:
             return give_up(attempts, quarantined.detail)
         if quarantined:
--- a/tests/busy_engines.py
+++ b/tests/busy_engines.py
@@ -13,6 +13,7 @@
 from hibiscuspass.core.forwarding import messages
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
+from hibiscuspass.core.forwarding import quarantine_policy
 from hibiscuspass.core.forwarding import request as request_lib
 
 # Shortest contact time of a deployment.
@@ -91,6 +92,7 @@
         self._load = load
         self._rng = random.Random(seed)
         self._reports = crash_reports.CrashReports()
+        self._policy = quarantine_policy.QuarantinePolicy(self._reports)
         self._proven = proven_parts.ProvenParts()
         self._quarantine = quarantine_lib.Quarantine()
         self._starts = itertools.count()
@@ -113,15 +115,12 @@
         mass_crash_s = load.mass_crash_s
         for step in range(int(duration_s / _STEP_S)):
             now_s = step * _STEP_S
-            while self._returns_s and self._returns_s[0] <= now_s:
-                self._returns_s.pop(0)
-                self._engines[next(self._starts)] = []
+            self._restart(now_s)
             if rng.random() < load.requests_per_s * _STEP_S:
                 for req in self._draw():
                     self._send(req, now_s)
-            for engine, running in list(self._engines.items()):
-                if engine in self._engines:
-                    self._work(engine, running, now_s)
+            for engine in list(self._engines):
+                self._work(engine, now_s)
             if self._engines and rng.random() < load.crashes_per_s * _STEP_S:
                 self._crash(rng.choice(list(self._engines)), now_s)
             if now_s >= mass_crash_s:
@@ -132,6 +131,11 @@
                 self._is_reported = False
                 self._decide(now_s)
 
+    def _restart(self, now_s: float) -> None:
+        while self._returns_s and self._returns_s[0] <= now_s:
+            self._returns_s.pop(0)
+            self._engines[next(self._starts)] = []
+
     def _draw(self) -> list[_Request]:
         rng = self._rng
         system = f"system-{rng.randrange(3)}"
@@ -145,7 +149,9 @@
 
     def _send(self, req: _Request, now_s: float) -> None:
         prompt = [request_lib.PromptPart(p, 10) for p in (*req.parts, "own")]
-        is_refused = self._quarantine.find(prompt, now_s) is not None
+        is_refused = (
+            self._quarantine.find(prompt, now_s, is_send=True) is not None
+        )
         is_first = not req.sends
         if is_refused or not self._engines:
             if is_first and not req.deadly:
@@ -160,10 +166,9 @@
         if req.deadly:
             self.sends_s[req.deadly].append(now_s)
 
-    def _work(
-        self, engine: int, running: list[_Request], now_s: float
-    ) -> None:
+    def _work(self, engine: int, now_s: float) -> None:
         """Plays what an engine writes until now."""
+        running = self._engines[engine]
         for req in list(running):
             if req.deadly:
                 written_s = (self._load.written or 0) * _EVENT_S
@@ -174,6 +179,7 @@
             elif now_s >= req.first_event_s + _EVENTS * _EVENT_S:
                 running.remove(req)
                 self._proven.add(req.parts, now_s)
+                self._quarantine.on_sound(req.parts)
                 if req.sends == 1:
                     self.served.append((req.sent_s, True))
 
@@ -207,6 +213,9 @@
         )
         for part_id in proof.part_ids:
             self._reports.forget(part_id)
-        unproven = crash_reports.unproven(suspects, [proof])
-        causes = self._reports.causes(unproven, now_s)
-        self.causes += self._quarantine.on_announced(causes, now_s)
+        for decision in self._policy.decide(suspects, [proof], now_s):
+            new = self._quarantine.on_announced(
+                [decision.cause], now_s, decision.duration_s
+            )
+            if decision.is_final:
+                self.causes += new
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from hibiscuspass.core.forwarding import crash_evidence
 from hibiscuspass.core.forwarding import crash_reports
 from hibiscuspass.core.forwarding import messages
 from hibiscuspass.core.forwarding import prompt_trial
@@ -153,7 +154,7 @@
         )
         for part_id in proof.part_ids:
             self._reports.forget(part_id)
-        unproven = crash_reports.unproven(suspects, [proof])
+        unproven = crash_evidence.unproven(suspects, [proof])
         causes = self._reports.causes(unproven, now_s)
         self.causes += self._quarantine.on_announced(causes, now_s)
 
@@ -289,10 +290,10 @@
     for n in range(4):
         reports.add(f"later-{n}", [_DEADLY], now_s=900.0 + n)
     (suspect,) = reports.suspects(now_s=904.0)
-    assert suspect.lost_parts == 1
-    assert suspect.lost_requests == 4
+    (losses,) = suspect.losses
+    assert (losses.crashes, losses.others, losses.parts) == (4, 0, 1)
     proof = messages.Proof([], [12])
-    assert crash_reports.unproven([suspect], [proof]) == [_DEADLY]
+    assert crash_evidence.unproven([suspect], [proof]) == [_DEADLY]
 
 
 def test_only_prompts_with_all_parts_of_a_cause_are_refused():
