Bound the bytes of request bodies in a router

A crowd of clients with large bodies ended a process: it ran out of memory. 60 bodies of 4 MB made `hibiscuspass-router` use 315 to 397 MB, and 665 MB where callers left and came back while their orders went on.

Cause: the size of a body was limited, not the number of bodies, which the process kept for as long as their clients liked, or their orders ran.

The router counts bodies in the budget that the gateway has: half of the memory beyond 100 MB, of `memory_mb` or of what the machine allows the process. Above it a body is refused as not run (503, 429 for one workspace's share), and an upload that is idle makes room for others. A body counts until the response has ended, and that of an order until the order has.

--- a/hibiscuspass/router/assembly.py
+++ b/hibiscuspass/router/assembly.py
@@ -15,6 +15,7 @@
 from hibiscuspass.backends import service
 from hibiscuspass.backends import vm_list
 from hibiscuspass.core import incarnation
+from hibiscuspass.core.admission import byte_budget
 from hibiscuspass.core.admission import factory as admission_factory
 from hibiscuspass.core.budget import messages as budget_messages
 from hibiscuspass.core.routing import factory as routing_factory
@@ -161,6 +162,8 @@
     def _make_parts(self) -> parts_lib.Parts:
         cfg = self._cfg
         limits = part_configs.caller_limits(cfg)
+        bodies = byte_budget.ByteBudget(part_configs.body_budget(cfg))
+        self._metrics.held_bytes.set_function(lambda: bodies.held)
         return parts_lib.Parts(
             config=self._config,
             budget=self._budget,
@@ -187,6 +190,7 @@
             limits=limits,
             hash_prefix=_hash_prefix,
             report_backend=self._fleet.report_backend,
+            bodies=bodies,
         )
 
     def _make_engine(self, vm: vm_list.Vm) -> engine.Engine:
--- a/hibiscuspass/router/intake.py
+++ b/hibiscuspass/router/intake.py
@@ -11,6 +11,7 @@
 from hibiscuspass.core.admission import controller
 from hibiscuspass.core.configuration import workspace as workspace_lib
 from hibiscuspass.router import authentication
+from hibiscuspass.router import body_hold
 from hibiscuspass.router import call_context
 from hibiscuspass.router import parts as parts_lib
 from hibiscuspass.router import request_body
@@ -18,10 +19,17 @@
 
 @attrs.frozen
 class ReceivedCall:
-    """The workspace and the complete body of an authenticated call."""
+    """The workspace and the complete body of an authenticated call.
+
+    Attributes:
+      workspace: Workspace of the access key.
+      body: Complete body.
+      hold: Counts the body until the response has ended.
+    """
 
     workspace: workspace_lib.Workspace
     body: bytes
+    hold: body_hold.BodyHold
 
 
 async def receive(
@@ -41,10 +49,14 @@
     refused = parts.lifecycle.check_accepts() or _check_key(ctx.key)
     if refused is not None:
         return refused
-    raw = await request_body.read(req, parts.limits)
+    hold = body_hold.BodyHold(parts.bodies.open(workspace.name))
+    ctx.after_response.append(hold.release)
+    raw = await request_body.read(req, parts.limits, hold.holding)
+    if hold.holding.refused is not None:
+        parts.metrics.refused_bodies.labels(hold.holding.refused.value).inc()
     if isinstance(raw, refusal.Refusal):
         return raw
-    return ReceivedCall(workspace, raw)
+    return ReceivedCall(workspace, raw, hold)
 
 
 async def authenticate(
--- a/hibiscuspass/router/metrics.py
+++ b/hibiscuspass/router/metrics.py
@@ -56,6 +56,17 @@
         # By default each router has its own registry, because a test process
         # has several routers and names must be unique in a registry.
         self.registry = registry or prometheus_client.CollectorRegistry()
+        self.held_bytes = prometheus_client.Gauge(
+            "hibiscuspass_held_bytes",
+            "Bytes of request bodies that the process keeps",
+            registry=self.registry,
+        )
+        self.refused_bodies = prometheus_client.Counter(
+            "hibiscuspass_refused_bodies",
+            "Request bodies for which there was no memory",
+            ["reason"],
+            registry=self.registry,
+        )
         self.requests = prometheus_client.Counter(
             "hibiscuspass_requests",
             "Requests by API, outcome and refusal reason.",
--- a/hibiscuspass/router/part_configs.py
+++ b/hibiscuspass/router/part_configs.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+from hibiscuspass.core.admission import byte_budget
 from hibiscuspass.core.admission import config as admission_config
 from hibiscuspass.core.budget import timing
 from hibiscuspass.core.dispatch import model_spec
@@ -10,6 +11,7 @@
 from hibiscuspass.core.retry import ejection
 from hibiscuspass.core.routing import config as routing_config
 from hibiscuspass.router import limits
+from hibiscuspass.settings import machine_memory
 from hibiscuspass.settings import router as router_settings
 
 # Time allowed for drawing budget when the key-value service is slow.
@@ -95,6 +97,18 @@
     )
 
 
+def body_budget(
+    cfg: router_settings.RouterSettings,
+) -> byte_budget.BudgetConfig:
+    """Returns the budget of the bytes of bodies."""
+    memory_bytes = (
+        machine_memory.read_bytes()
+        if cfg.memory_mb is None
+        else cfg.memory_mb * 1e6
+    )
+    return byte_budget.make_config(memory_bytes)
+
+
 def models(
     cfg: router_settings.RouterSettings,
 ) -> dict[str, model_spec.ModelSpec]:
--- a/hibiscuspass/router/parts.py
+++ b/hibiscuspass/router/parts.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from hibiscuspass.core.admission import byte_budget
 from hibiscuspass.core.dispatch import model_spec
 from hibiscuspass.core.routing import policy
 from hibiscuspass.router import admission_gate
@@ -44,6 +45,7 @@
       hash_prefix: Returns the hashes of the prefix blocks of a request body.
       report_backend: Reports to membership, by server name, whether a backend
         server is draining.
+      bodies: Budget of the bytes of all bodies that are kept.
     """
 
     config: config_source.ConfigSource
@@ -61,3 +63,6 @@
     limits: limits.Limits
     hash_prefix: PrefixHasher
     report_backend: Callable[[str, bool], None]
+    bodies: byte_budget.ByteBudget = attrs.field(
+        factory=lambda: byte_budget.ByteBudget(byte_budget.BudgetConfig())
+    )
--- a/hibiscuspass/router/service_calls.py
+++ b/hibiscuspass/router/service_calls.py
@@ -18,6 +18,7 @@
 from hibiscuspass.core.dispatch import early_refusal
 from hibiscuspass.core.dispatch import model_spec
 from hibiscuspass.core.dispatch import service_path
+from hibiscuspass.router import body_hold
 from hibiscuspass.router import call_context
 from hibiscuspass.router import claims as claims_lib
 from hibiscuspass.router import http_response
@@ -47,6 +48,7 @@
 
     ctx: call_context.CallContext
     workspace: workspace_lib.Workspace
+    hold: body_hold.BodyHold
     spec: model_spec.ServiceSpec
     request: service.ServiceRequest
     non_repeatable: bool
@@ -105,6 +107,7 @@
         return _Call(
             ctx,
             received.workspace,
+            received.hold,
             spec,
             service.ServiceRequest(
                 request_id=ctx.request_id,
@@ -157,6 +160,8 @@
         # Both tasks continue if the caller disconnects, so that the outcome is
         # stored for duplicates of the call.
         run_task = asyncio.create_task(self._run_after_claim(call))
+        call.hold.retain()
+        run_task.add_done_callback(lambda _: call.hold.release())
         response_sent = asyncio.Event()
         call.ctx.after_response.append(response_sent.set)
         store_task = asyncio.create_task(
--- a/hibiscuspass/settings/router.py
+++ b/hibiscuspass/settings/router.py
@@ -41,6 +41,8 @@
       shutdown_grace_s: Time limit of a graceful shutdown in seconds.
       max_body_bytes: Maximum size of a request body.
       body_timeout_s: Time limit for receiving a request body, in seconds.
+      memory_mb: Memory of the VM in megabytes (10^6 bytes); None for what the
+        machine allows the process.
     """
 
     process: process_lib.ProcessSettings
@@ -82,3 +84,7 @@
     body_timeout_s: float = attrs.field(
         default=10.0, validator=checks.in_range(0.1, 600)
     )
+    memory_mb: float | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(checks.in_range(1, 1e6)),
+    )
--- a/tests/test_untrusted_router_clients.py
+++ b/tests/test_untrusted_router_clients.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import functools
+import itertools
 import json
 import os
 import pathlib
@@ -20,7 +21,8 @@
 _CROWD = 60
 _HOLD_S = 8.0
 _MAX_OPEN_FDS = 256
-_SETTINGS: dict[str, float] = {}
+_SETTINGS = {"memory_mb": clients_lib.MEMORY_MB}
+_numbers = itertools.count()
 _CHAT = "/v1/chat/completions"
 _ORDERS = "/services/orders/orders/1"
 
@@ -73,7 +75,8 @@
     )
     head = (
         f"POST {path} HTTP/1.1\r\nHost: x\r\n{framing}\r\n"
-        f"Authorization: Bearer {fleet.access_key}\r\n\r\n"
+        f"Authorization: Bearer {fleet.access_key}\r\n"
+        f"Idempotency-Key: key-{next(_numbers)}\r\n\r\n"
     )
     body = body[: len(body) - missing]
     async with clients_lib.connected(f"127.0.0.1:{router.port}") as (_, writer):
@@ -139,14 +142,23 @@
     await _assert_sound(fleet)
 
 
+async def test_router_bounds_orders_of_callers_that_left(
+    fleet: process_fleet.Fleet,
+) -> None:
+    """Orders go on without their callers, which come back with new ones."""
+    service = fleet.programs["service-0"]
+    service.freeze()
+    for _ in range(2):
+        await _crowd(fleet, _ORDERS, missing=0, in_chunks=False)
+    service.resume()
+    await _assert_sound(fleet)
+
+
 async def test_router_serves_a_single_large_request(
     fleet: process_fleet.Fleet,
 ) -> None:
     """The limits must not refuse a caller within the documented ones."""
     content = "x" * (clients_lib.BODY_BYTES - 1000)
-    message = {"role": "user", "content": content}
-    async with fleet.chat(
-        "router-0", stream=False, max_tokens=4, messages=[message]
-    ) as resp:
+    async with fleet.post("router-0", _ORDERS, content, key="large") as resp:
         assert resp.status == 200, await resp.text()
     await _assert_sound(fleet)
