Bound the bytes that clients make a gateway keep without `memory_mb`

A gateway whose settings don't name the memory of its VM kept any number of bodies. The smallest limit that the machine, the control group or the address space sets for the process now takes the place of the setting.

tests/test_machine_memory.py: 60 uploads of 4 MB were all granted before with 160 MB; now the first ones are, and the last one isn't. The crowds of tests/test_untrusted_clients.py, which name 160 MB, pass as before.

--- a/hibiscuspass/gateway/caller_connections.py
+++ b/hibiscuspass/gateway/caller_connections.py
@@ -19,6 +19,7 @@
 from hibiscuspass.core.forwarding import route_table
 from hibiscuspass.gateway import gateway_metrics
 from hibiscuspass.settings import gateway as settings_lib
+from hibiscuspass.settings import machine_memory
 
 _log = structlog.get_logger(__name__)
 
@@ -173,7 +174,7 @@
           metrics: Metrics of the gateway.
           table: Returns the configuration; None before it is read.
         """
-        memory = None if cfg.memory_mb is None else cfg.memory_mb * 1e6
+        memory = machine_memory.limit_bytes(cfg.memory_mb)
         bytes_cfg = byte_budget.make_config(memory)
         self.budget = byte_budget.ByteBudget(bytes_cfg)
         conn_cfg = connection_limit.make_config(
--- a/hibiscuspass/router/part_configs.py
+++ b/hibiscuspass/router/part_configs.py
@@ -101,12 +101,7 @@
     cfg: router_settings.RouterSettings,
 ) -> byte_budget.BudgetConfig:
     """Returns the budget of the bytes of bodies."""
-    memory_bytes = (
-        machine_memory.read_bytes()
-        if cfg.memory_mb is None
-        else cfg.memory_mb * 1e6
-    )
-    return byte_budget.make_config(memory_bytes)
+    return byte_budget.make_config(machine_memory.limit_bytes(cfg.memory_mb))
 
 
 def models(
--- a/hibiscuspass/settings/gateway.py
+++ b/hibiscuspass/settings/gateway.py
@@ -79,8 +79,8 @@
         after which guarantees with a time bound no longer hold.
       grace_s: Time from SIGTERM to SIGKILL in seconds.
       max_fds: Maximum number of file descriptors of the process.
-      memory_mb: Memory of the VM in megabytes (10^6 bytes); None without a
-        budget of bytes for what clients make the process keep.
+      memory_mb: Memory of the VM in megabytes (10^6 bytes); None for what the
+        machine allows the process.
       logging: Log output.
       cold: Bound on the requests to cold backend servers.
     """
--- a/hibiscuspass/settings/machine_memory.py
+++ b/hibiscuspass/settings/machine_memory.py
@@ -12,6 +12,16 @@
 )
 
 
+def limit_bytes(memory_mb: float | None) -> float:
+    """Returns the memory that a process may use, in bytes.
+
+    Args:
+      memory_mb: Setting in megabytes (10^6 bytes); None for what the machine
+        allows the process.
+    """
+    return read_bytes() if memory_mb is None else memory_mb * 1e6
+
+
 def read_bytes(group_files: Iterable[pathlib.Path] = _GROUP_FILES) -> float:
     """Returns the smallest limit of the memory of this process, in bytes.
 
