Decide on new crash reports while earlier ones are open

While a part was only suspect, the routers that collect the reports asked for answers every two seconds, and a new report had to wait for that.

--- a/hibiscuspass/gateway/crash_coordinator.py
+++ b/hibiscuspass/gateway/crash_coordinator.py
@@ -57,6 +57,7 @@
         self._reports = crash_reports.CrashReports()
         self._policy = quarantine_policy.QuarantinePolicy(self._reports)
         self._is_deciding = False
+        self._is_reported = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         transport.register(messages.ReportCrashes, self.on_report)
         transport.register(messages.AskProof, self._on_ask_proof)
@@ -72,6 +73,7 @@
             msg.instances, msg.part_ids, msg.events
         ):
             self._reports.add(instance, part_ids, now_s, events)
+        self._is_reported.set()
         if not self._is_deciding:
             self._is_deciding = True
             self._spawn(self._decide())
@@ -93,14 +95,29 @@
         delay_s = _MIN_DECISION_INTERVAL_S
         try:
             while suspects := self._unexplained_suspects():
+                self._is_reported.clear()
                 if await self._explain(suspects):
                     delay_s = _MIN_DECISION_INTERVAL_S
                     continue
-                await asyncio.sleep(delay_s)
-                delay_s = min(_MAX_DECISION_INTERVAL_S, 2 * delay_s)
+                await asyncio.sleep(_MIN_DECISION_INTERVAL_S)
+                if await self._wait_for_report(
+                    delay_s - _MIN_DECISION_INTERVAL_S
+                ):
+                    delay_s = _MIN_DECISION_INTERVAL_S
+                else:
+                    delay_s = min(_MAX_DECISION_INTERVAL_S, 2 * delay_s)
         finally:
             self._is_deciding = False
 
+    async def _wait_for_report(self, timeout_s: float) -> bool:
+        """Returns whether a report has come since the last decision."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._is_reported.wait()
+        except TimeoutError:
+            pass
+        return self._is_reported.is_set()
+
     async def _explain(
         self, suspects: Sequence[crash_evidence.Suspect]
     ) -> bool:
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -139,6 +139,20 @@
         assert refused.retry_after_s > 0
 
 
+async def test_report_is_decided_on_while_an_earlier_one_is_open() -> None:
+    """Routers were asked every two seconds while a part was only suspect."""
+    async with _fleet() as fleet:
+        for n in range(4):
+            engine = _engine(free_ports.free_port())
+            fleet.guards[f"router-{n}"].on_lost(_request("deadly"), engine, 0.0)
+        # Nothing is answered, so that the part stays a suspect for long.
+        await asyncio.sleep(2.0)
+        assert fleet.refusing(_request("deadly")) == []
+        await fleet.crash("deadly")
+        await asyncio.sleep(0.4)
+        assert len(fleet.refusing(_request("deadly"))) == _ROUTERS
+
+
 async def test_proven_companion_is_served() -> None:
     """A part that comes with the deadly one each time is sound by itself."""
     async with _fleet() as fleet:
