Announce short quarantines in a message of their own

Routers of an earlier version read only the causes of `Quarantined`, so that a short quarantine lasted 60 s there, and the end of one began another. They don't know `ShortQuarantine` and send on. A report whose lists differ in length is taken as far as the shorter of its requests go, as before, in place of an exception.

--- a/hibiscuspass/core/forwarding/messages.py
+++ b/hibiscuspass/core/forwarding/messages.py
@@ -3,7 +3,6 @@
 import attrs
 
 from hibiscuspass.core.forwarding import cold_servers
-from hibiscuspass.core.forwarding import quarantine
 
 
 @attrs.frozen
@@ -210,9 +209,22 @@
     Attributes:
       causes: Sets of prompt parts; a request with all parts of one of them
         must not be sent.
-      duration_s: Time for which they are in force, in seconds, unless the store
-        lists them; 0 if an answer has shown that they crash no engine.
     """
 
     causes: list[list[str]]
-    duration_s: float = quarantine.ANNOUNCED_TTL_S
+
+
+@attrs.frozen
+class ShortQuarantine:
+    """Announces causes of crashes that aren't certain, or that are none.
+
+    Routers of earlier versions don't know this message and send on.
+
+    Attributes:
+      causes: Sets of prompt parts, as in `Quarantined`.
+      duration_s: Time for which requests with them must not be sent, in
+        seconds; 0 if an answer has shown that they crash no engine.
+    """
+
+    causes: list[list[str]]
+    duration_s: float
--- a/hibiscuspass/gateway/crash_coordinator.py
+++ b/hibiscuspass/gateway/crash_coordinator.py
@@ -62,6 +62,7 @@
         transport.register(messages.ReportCrashes, self.on_report)
         transport.register(messages.AskProof, self._on_ask_proof)
         transport.register(messages.Quarantined, self._on_quarantined)
+        transport.register(messages.ShortQuarantine, self._on_short_quarantine)
 
     async def on_report(
         self, _: incarnation.Incarnation, msg: messages.ReportCrashes
@@ -69,8 +70,9 @@
         """Handles the report of a router, which may be this one."""
         now_s = time.monotonic()
         # Routers of earlier versions don't send the numbers of events.
-        for instance, part_ids, events in itertools.zip_longest(
-            msg.instances, msg.part_ids, msg.events
+        all_events = itertools.chain(msg.events, itertools.repeat(None))
+        for instance, part_ids, events in zip(
+            msg.instances, msg.part_ids, all_events, strict=False
         ):
             self._reports.add(instance, part_ids, now_s, events)
         self._is_reported.set()
@@ -88,7 +90,7 @@
         """Tells all routers that an answer has shown that causes are none."""
         parts = [sorted(cause) for cause in causes]
         _log.warning("prompt parts are sound", causes=parts)
-        self._spawn(self._announce(messages.Quarantined(parts, 0.0)))
+        self._spawn(self._announce(messages.ShortQuarantine(parts, 0.0)))
 
     async def _decide(self) -> None:
         """Puts causes in quarantine until all reports are explained."""
@@ -142,18 +144,23 @@
 
     def _start_quarantine(self, decision: quarantine_policy.Decision) -> None:
         cause = decision.cause
-        duration_s = min(decision.duration_s, quarantine_lib.ANNOUNCED_TTL_S)
-        self._quarantine.on_announced([cause], time.monotonic(), duration_s)
         _log.warning(
             "prompt parts crash engines",
             parts=sorted(cause),
             duration_s=decision.duration_s,
         )
+        causes = [sorted(cause)]
+        now_s = time.monotonic()
         if decision.is_final:
+            self._quarantine.on_announced([cause], now_s)
             self._spawn(self._list.add(cause))
-        self._spawn(
-            self._announce(messages.Quarantined([sorted(cause)], duration_s))
-        )
+            self._spawn(self._announce(messages.Quarantined(causes)))
+        else:
+            duration_s = decision.duration_s
+            self._quarantine.on_announced([cause], now_s, duration_s)
+            self._spawn(
+                self._announce(messages.ShortQuarantine(causes, duration_s))
+            )
 
     def _unexplained_suspects(self) -> list[crash_evidence.Suspect]:
         """Returns the suspects, unless all causes are in quarantine."""
@@ -186,7 +193,9 @@
             and len(reply.answers) == len(suspects)
         ]
 
-    async def _announce(self, msg: messages.Quarantined) -> None:
+    async def _announce(
+        self, msg: messages.Quarantined | messages.ShortQuarantine
+    ) -> None:
         """Tells all routers of causes in quarantine."""
         confirmed: set[str] = set()
         for _ in range(_ANNOUNCEMENTS):
@@ -221,20 +230,36 @@
     async def _on_quarantined(
         self, sender: incarnation.Incarnation, msg: messages.Quarantined
     ) -> messages.Noted:
-        causes = [frozenset(part_ids) for part_ids in msg.causes if part_ids]
-        if not msg.duration_s:
-            for cause in causes:
-                self._quarantine.on_sound(cause)
-            return messages.Noted()
+        self._add_announced(sender, msg.causes, quarantine_lib.ANNOUNCED_TTL_S)
+        return messages.Noted()
+
+    async def _on_short_quarantine(
+        self, sender: incarnation.Incarnation, msg: messages.ShortQuarantine
+    ) -> messages.Noted:
+        if msg.duration_s > 0:
+            self._add_announced(sender, msg.causes, msg.duration_s)
+        else:
+            for part_ids in filter(None, msg.causes):
+                self._quarantine.on_sound(part_ids)
+        return messages.Noted()
+
+    def _add_announced(
+        self,
+        sender: incarnation.Incarnation,
+        parts: Sequence[Sequence[str]],
+        duration_s: float,
+    ) -> None:
+        # Without parts, a cause would be in all prompts.
+        causes = [frozenset(part_ids) for part_ids in parts if part_ids]
         for cause in self._quarantine.on_announced(
-            causes, time.monotonic(), msg.duration_s
+            causes, time.monotonic(), duration_s
         ):
             _log.warning(
                 "prompt parts in quarantine",
                 parts=sorted(cause),
+                duration_s=duration_s,
                 peer=str(sender),
             )
-        return messages.Noted()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -13,6 +13,8 @@
 from hibiscuspass.core import refusal
 from hibiscuspass.core.forwarding import backend as backend_lib
 from hibiscuspass.core.forwarding import backend_set
+from hibiscuspass.core.forwarding import messages
+from hibiscuspass.core.forwarding import quarantine_policy
 from hibiscuspass.core.forwarding import request as request_lib
 from hibiscuspass.gateway import prompt_guard
 from tests import assertions
@@ -153,6 +155,44 @@
         assert len(fleet.refusing(_request("deadly"))) == _ROUTERS
 
 
+async def test_short_quarantine_ends_with_an_answer_at_any_router() -> None:
+    """A sound part was refused until its time was over."""
+    async with _fleet() as fleet:
+        for guard in fleet.guards.values():
+            guard.on_sound(_request("another"))
+        # Few answers come after the first crash, so the cause isn't certain.
+        for n in range(4):
+            engine = _engine(free_ports.free_port())
+            fleet.guards[f"router-{n}"].on_lost(
+                _request("common"), engine, 0.0, events=0
+            )
+            for k in range(6):
+                fleet.guards[f"router-{n}"].on_lost(
+                    _request(f"thing-{n}-{k}"), engine, 0.0, events=20
+                )
+        await asyncio.sleep(0.3)
+        assert len(fleet.refusing(_request("common"))) == _ROUTERS
+        refused = fleet.guards["router-3"].check(_request("common"))
+        assertions.assert_refused(refused, reason_lib.Reason.PROMPT_QUARANTINED)
+        assert 0 < refused.retry_after_s <= quarantine_policy.SHORT_S
+        fleet.guards["router-5"].on_sound(_request("common"))
+        await asyncio.sleep(0.05)
+        assert fleet.refusing(_request("common")) == []
+
+
+async def test_uneven_reports_are_taken_as_far_as_they_go() -> None:
+    """Reports of earlier versions have no numbers of events."""
+    async with _fleet() as fleet:
+        handler = fleet.nodes["router-0"].handlers[messages.ReportCrashes]
+        process = fleet.nodes["router-1"].process
+        for msg in (
+            messages.ReportCrashes(["i-1"], [["a"]]),
+            messages.ReportCrashes(["i-1", "i-2"], [["a"]], [1, 2, 3]),
+            messages.ReportCrashes([], [["a"]], [None]),
+        ):
+            assert isinstance(await handler(process, msg), messages.Noted)
+
+
 async def test_proven_companion_is_served() -> None:
     """A part that comes with the deadly one each time is sound by itself."""
     async with _fleet() as fleet:
