--- a/hibiscuspass/gateway/dispatch.py
+++ b/hibiscuspass/gateway/dispatch.py
@@ -254,23 +254,10 @@
         finding: prompt_trial.Finding,
         events: int,
     ) -> None:
-        """Records what an answer shows about its prompt.
-
-        Args:
-          call: Request of the caller.
-          answer: Answer of a server.
-          finding: What it shows.
-          events: Number of its complete events that have arrived.
-        """
-        if finding is prompt_trial.Finding.SOUND:
-            self._guard.on_sound(call.req)
-            return
-        self._guard.on_lost(
-            call.req,
-            answer.choice.backend,
-            answer.sent_s,
-            events=events,
-            may_be_complete=finding is prompt_trial.Finding.AMBIGUOUS,
+        """Records what an answer shows; `events` of it have arrived."""
+        backend = answer.choice.backend
+        self._guard.on_finding(
+            call.req, backend, answer.sent_s, finding, events
         )
 
     def on_ended(
--- a/hibiscuspass/gateway/prompt_guard.py
+++ b/hibiscuspass/gateway/prompt_guard.py
@@ -9,6 +9,7 @@
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core.forwarding import backend as backend_lib
+from hibiscuspass.core.forwarding import prompt_trial
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
 from hibiscuspass.core.forwarding import request as request_lib
@@ -73,6 +74,34 @@
             ),
         )
 
+    def on_finding(
+        self,
+        req: request_lib.ForwardRequest,
+        backend: backend_lib.Backend,
+        sent_s: float,
+        finding: prompt_trial.Finding,
+        events: int,
+    ) -> None:
+        """Records what an answer of an engine shows about its prompt.
+
+        Args:
+          req: Request of the caller.
+          backend: Engine that answered.
+          sent_s: Time of the send on the monotonic clock.
+          finding: What the answer shows.
+          events: Number of its complete events that have arrived.
+        """
+        if finding is prompt_trial.Finding.SOUND:
+            self.on_sound(req)
+            return
+        self.on_lost(
+            req,
+            backend,
+            sent_s,
+            events=events,
+            may_be_complete=finding is prompt_trial.Finding.AMBIGUOUS,
+        )
+
     def on_sound(self, req: request_lib.ForwardRequest) -> None:
         """Records that an engine has not crashed on a request."""
         part_ids = [part.part_id for part in req.prompt_parts]
