Make a short quarantine long when one more engine crashes in it

A decision on a cause that was refused already was dropped, also if the quarantine was short and the decision a long one, and no further decision was taken until the short one had ended. Requests that were sent before it end engines while it lasts, so one more crash was needed than `quarantine_policy` says and the replays of tests/busy_engines.py play.

--- a/hibiscuspass/core/forwarding/quarantine.py
+++ b/hibiscuspass/core/forwarding/quarantine.py
@@ -163,6 +163,15 @@
         """Returns whether all requests with a cause are refused already."""
         return any(c <= cause for c in self._active(now_s))
 
+    def covers_long(self, cause: Cause, now_s: float) -> bool:
+        """Returns whether a cause is refused and its quarantine isn't short."""
+        announced = (
+            c
+            for c, times in self._announced.items()
+            if now_s < times.until_s and times.until_s == times.probation_end_s
+        )
+        return any(c <= cause for c in itertools.chain(self._listed, announced))
+
     def active(self, now_s: float) -> list[Cause]:
         """Returns the causes whose requests are all refused now."""
         return list(dict.fromkeys(self._active(now_s)))
--- a/hibiscuspass/gateway/crash_coordinator.py
+++ b/hibiscuspass/gateway/crash_coordinator.py
@@ -136,12 +136,19 @@
         decisions = [
             d
             for d in self._policy.decide(suspects, proofs, now_s)
-            if not self._quarantine.covers(d.cause, now_s)
+            if not self._is_in_force(d, now_s)
         ]
         for decision in decisions:
             self._start_quarantine(decision)
         return bool(proven or decisions)
 
+    def _is_in_force(
+        self, decision: quarantine_policy.Decision, now_s: float
+    ) -> bool:
+        if decision.is_final:
+            return self._quarantine.covers_long(decision.cause, now_s)
+        return self._quarantine.covers(decision.cause, now_s)
+
     def _start_quarantine(self, decision: quarantine_policy.Decision) -> None:
         cause = decision.cause
         _log.warning(
@@ -163,11 +170,11 @@
             )
 
     def _unexplained_suspects(self) -> list[crash_evidence.Suspect]:
-        """Returns the suspects, unless all causes are in quarantine."""
+        """Returns the suspects, unless all causes are in long quarantine."""
         now_s = time.monotonic()
         suspects = self._reports.suspects(now_s)
         causes = self._reports.causes({s.part_id for s in suspects}, now_s)
-        if all(self._quarantine.covers(c, now_s) for c in causes):
+        if all(self._quarantine.covers_long(c, now_s) for c in causes):
             return []
         return suspects
 
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -180,6 +180,30 @@
         assert fleet.refusing(_request("common")) == []
 
 
+async def test_crash_in_a_short_quarantine_makes_it_long() -> None:
+    """Requests that were sent before it end engines while it lasts."""
+    async with _fleet() as fleet:
+        for n in range(4):
+            engine = _engine(free_ports.free_port())
+            fleet.guards[f"router-{n}"].on_lost(
+                _request("deadly"), engine, 0.0, events=0
+            )
+            for k in range(6):
+                fleet.guards[f"router-{n}"].on_lost(
+                    _request(f"thing-{n}-{k}"), engine, 0.0, events=20
+                )
+        await asyncio.sleep(0.3)
+        assert len(fleet.refusing(_request("deadly"))) == _ROUTERS
+        await fleet.crash("deadly")
+        await asyncio.sleep(0.4)
+        for guard in fleet.guards.values():
+            refused = guard.check(_request("deadly"))
+            assertions.assert_refused(
+                refused, reason_lib.Reason.PROMPT_QUARANTINED
+            )
+            assert refused.retry_after_s > quarantine_policy.SHORT_S
+
+
 async def test_uneven_reports_are_taken_as_far_as_they_go() -> None:
     """Reports of earlier versions have no numbers of events."""
     async with _fleet() as fleet:
