Share the refusals of uploads, and the proofs of replays

The router's request bodies had copies of the gateway's texts, of the reason for each outcome and of the end of a dropped upload (`backends/uploads.py`), and two replays one of how suspects are proven (`tests/crash_proofs.py`).

--- a/hibiscuspass/gateway/request_reader.py
+++ b/hibiscuspass/gateway/request_reader.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import multidict
 
+from hibiscuspass.backends import uploads
 from hibiscuspass.core import reason as reason_lib
 from hibiscuspass.core import refusal
 from hibiscuspass.core.admission import byte_budget
@@ -34,14 +35,6 @@
 _BEARER = "bearer "
 # Longest time for the arrival of a body; the request's deadline may be earlier.
 _MAX_BODY_TIMEOUT_S = 10.0
-# Time in which an upload that has become idle can be dropped.
-_RETRY_AFTER_S = 1.0
-_BYTES_DETAILS = {
-    byte_budget.Outcome.DROPPED: "the body stopped arriving; not run",
-    byte_budget.Outcome.TOTAL: "no memory for the body; not run",
-    byte_budget.Outcome.KEY: "too many bytes of this API key; not run",
-    byte_budget.Outcome.REQUEST: "no memory for so large a body; not run",
-}
 
 
 def hop_by_hop_names(
@@ -184,17 +177,17 @@
         async with asyncio.timeout(
             min(remaining_s, _MAX_BODY_TIMEOUT_S)
         ) as timeout:
-            holding.on_drop = functools.partial(_expire, timeout)
+            holding.on_drop = functools.partial(uploads.expire, timeout)
             async for chunk in http.content.iter_any():
                 outcome = holding.add_upload(len(chunk), time.monotonic())
                 if outcome is not byte_budget.Outcome.GRANTED:
-                    return _refuse_bytes(outcome)
+                    return uploads.make_refusal(outcome)
                 body += chunk
                 if len(body) > limits.max_body_bytes:
                     return _too_large(limits)
     except TimeoutError:
         if holding.is_dropped:
-            return _refuse_bytes(byte_budget.Outcome.DROPPED)
+            return uploads.make_refusal(byte_budget.Outcome.DROPPED)
         return _refuse(
             reason_lib.Reason.BODY_TIMEOUT, "the body did not arrive in time"
         )
@@ -203,22 +196,6 @@
     return body
 
 
-def _expire(timeout: asyncio.Timeout) -> None:
-    if not timeout.expired():
-        timeout.reschedule(asyncio.get_running_loop().time())
-
-
-def _refuse_bytes(outcome: byte_budget.Outcome) -> refusal.Refusal:
-    """Returns the refusal of a body that isn't kept."""
-    return refusal.Refusal(
-        reason_lib.Reason.RATE_LIMITED
-        if outcome is byte_budget.Outcome.KEY
-        else reason_lib.Reason.OVERLOADED,
-        _BYTES_DETAILS[outcome],
-        retry_after_s=_RETRY_AFTER_S,
-    )
-
-
 def _forwarded_headers(
     headers: multidict.CIMultiDictProxy[str],
     workspace: route_lib.Workspace | None,
--- a/tests/busy_engines.py
+++ b/tests/busy_engines.py
@@ -10,11 +10,11 @@
 import attrs
 
 from hibiscuspass.core.forwarding import crash_reports
-from hibiscuspass.core.forwarding import messages
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
 from hibiscuspass.core.forwarding import quarantine_policy
 from hibiscuspass.core.forwarding import request as request_lib
+from tests import crash_proofs
 
 # Shortest contact time of a deployment.
 CONTACT_S = 3.0
@@ -213,16 +213,7 @@
 
     def _decide(self, now_s: float) -> None:
         suspects = self._reports.suspects(now_s)
-        proof = messages.Proof(
-            [
-                s.part_id
-                for s in suspects
-                if self._proven.is_proven_since(s.part_id, s.since_s)
-            ],
-            [self._proven.answers_since(s.since_s) for s in suspects],
-        )
-        for part_id in proof.part_ids:
-            self._reports.forget(part_id)
+        proof = crash_proofs.prove(self._reports, self._proven, suspects)
         for decision in self._policy.decide(suspects, [proof], now_s):
             new = self._quarantine.on_announced(
                 [decision.cause], now_s, decision.duration_s
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -13,6 +13,7 @@
 from hibiscuspass.core.forwarding import proven_parts
 from hibiscuspass.core.forwarding import quarantine as quarantine_lib
 from hibiscuspass.core.forwarding import request as request_lib
+from tests import crash_proofs
 
 _DEADLY = "deadly"
 _STEPS_PER_S = 30
@@ -144,16 +145,7 @@
 
     def _decide(self, now_s: float) -> None:
         suspects = self._reports.suspects(now_s)
-        proof = messages.Proof(
-            [
-                s.part_id
-                for s in suspects
-                if self._proven.is_proven_since(s.part_id, s.since_s)
-            ],
-            [self._proven.answers_since(s.since_s) for s in suspects],
-        )
-        for part_id in proof.part_ids:
-            self._reports.forget(part_id)
+        proof = crash_proofs.prove(self._reports, self._proven, suspects)
         unproven = crash_evidence.unproven(suspects, [proof])
         causes = self._reports.causes(unproven, now_s)
         self.causes += self._quarantine.on_announced(causes, now_s)
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -98,6 +98,17 @@
                 other.on_sound(_request("another"))
         await asyncio.sleep(0.1)
 
+    async def crash_busy_engines(self, part_id: str) -> None:
+        """Loses a request with a part, and others beside it, at engines."""
+        for n in range(4):
+            engine = _engine(free_ports.free_port())
+            guard = self.guards[f"router-{n}"]
+            guard.on_lost(_request(part_id), engine, 0.0, events=0)
+            for k in range(6):
+                other = _request(f"thing-{n}-{k}")
+                guard.on_lost(other, engine, 0.0, events=20)
+        await asyncio.sleep(0.3)
+
 
 @contextlib.asynccontextmanager
 async def _fleet():
@@ -161,16 +172,7 @@
         for guard in fleet.guards.values():
             guard.on_sound(_request("another"))
         # Few answers come after the first crash, so the cause isn't certain.
-        for n in range(4):
-            engine = _engine(free_ports.free_port())
-            fleet.guards[f"router-{n}"].on_lost(
-                _request("common"), engine, 0.0, events=0
-            )
-            for k in range(6):
-                fleet.guards[f"router-{n}"].on_lost(
-                    _request(f"thing-{n}-{k}"), engine, 0.0, events=20
-                )
-        await asyncio.sleep(0.3)
+        await fleet.crash_busy_engines("common")
         assert len(fleet.refusing(_request("common"))) == _ROUTERS
         refused = fleet.guards["router-3"].check(_request("common"))
         assertions.assert_refused(refused, reason_lib.Reason.PROMPT_QUARANTINED)
@@ -183,16 +185,7 @@
 async def test_crash_in_a_short_quarantine_makes_it_long() -> None:
     """Requests that were sent before it end engines while it lasts."""
     async with _fleet() as fleet:
-        for n in range(4):
-            engine = _engine(free_ports.free_port())
-            fleet.guards[f"router-{n}"].on_lost(
-                _request("deadly"), engine, 0.0, events=0
-            )
-            for k in range(6):
-                fleet.guards[f"router-{n}"].on_lost(
-                    _request(f"thing-{n}-{k}"), engine, 0.0, events=20
-                )
-        await asyncio.sleep(0.3)
+        await fleet.crash_busy_engines("deadly")
         assert len(fleet.refusing(_request("deadly"))) == _ROUTERS
         await fleet.crash("deadly")
         await asyncio.sleep(0.4)
